--- /dev/null
+++ b/internal/call/request.go
@@ -0,0 +1,80 @@
+// Package call models one request and its answer on the way between caller,
+// nodes and backend server.
+package call
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Header names that callers and backend servers see.
+const (
+	HeaderService   = "Service"
+	HeaderTenant    = "Tenant"
+	HeaderClass     = "Class"
+	HeaderID        = "Request-Id"
+	HeaderTimeout   = "Request-Timeout" // milliseconds left
+	HeaderHop       = "Request-Hop"
+	HeaderAllowance = "Retry-Allowance"
+	HeaderKey       = "Idempotency-Key"
+	HeaderReplayed  = "Idempotency-Replayed"
+	HeaderOutcome   = "Outcome"
+)
+
+// MaxHops bounds a chain of calls; calls are up to 10 deep, so a longer chain
+// is a loop.
+const MaxHops = 16
+
+// Request is one request as it travels between nodes. It is immutable; With
+// methods return changed copies that share header and body.
+type Request struct {
+	ID      string      `msgpack:"i"`
+	Service string      `msgpack:"s"`
+	Method  string      `msgpack:"m"`
+	URI     string      `msgpack:"u"` // path and query as the backend server sees them
+	Header  http.Header `msgpack:"h"`
+	Tenant  string      `msgpack:"t"`
+	Class   string      `msgpack:"c"`
+	// Key is the caller's Idempotency-Key, or empty.
+	Key string `msgpack:"k,omitempty"`
+	// Idempotent is decided once, by the first node, from method and rules.
+	Idempotent bool `msgpack:"d"`
+	Hop        int  `msgpack:"p"`
+	// Allowance is the number of retries that remain for the whole chain.
+	Allowance int `msgpack:"a"`
+	// Deadline is a monotonic instant of this process; it travels as Timeout.
+	Deadline time.Time `msgpack:"-"`
+	// Timeout is only set on the wire.
+	Timeout time.Duration `msgpack:"l"`
+	Body    []byte        `msgpack:"-"`
+}
+
+// WithDeadline returns a copy with another deadline.
+func (r Request) WithDeadline(t time.Time) Request {
+	r.Deadline = t
+	return r
+}
+
+// WithAllowance returns a copy with another number of retries left.
+func (r Request) WithAllowance(n int) Request {
+	r.Allowance = n
+	return r
+}
+
+// Keyed reports whether the request takes the at-most-once path.
+func (r Request) Keyed() bool { return r.Key != "" && !r.Idempotent }
+
+// Fingerprint identifies the content of the request: service, method, URI and
+// body.
+func (r Request) Fingerprint() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range [...]string{r.Service, r.Method, r.URI} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/node/transport.go
@@ -0,0 +1,218 @@
+// Package node speaks the protocol between nodes: one QUIC stream for each
+// request, its answer or a control message.
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// idleTimeout bounds how long an unused connection stays open. An idle
+	// connection holds about 69 KB an end.
+	idleTimeout = 30 * time.Second
+	// maxLinks bounds the memory of outgoing connections.
+	maxLinks = 128
+	// pingAfter is the silence on a link with requests in flight after which it
+	// is pinged; deadAfter is how long the ping may stay without any packet.
+	pingAfter = 500 * time.Millisecond
+	deadAfter = time.Second
+
+	maxStreams = 4096
+
+	codeCanceled quic.StreamErrorCode      = 1
+	codeFailed   quic.StreamErrorCode      = 2
+	codeIdle     quic.ApplicationErrorCode = 1
+	codeSilent   quic.ApplicationErrorCode = 2
+	codeStopped  quic.ApplicationErrorCode = 3
+)
+
+// ControlFunc answers a control message from another node.
+type ControlFunc func(ctx context.Context, from string, body []byte) ([]byte, error)
+
+// Transport is one node's side of the protocol. Set the exported fields before
+// Listen.
+type Transport struct {
+	// ID is this node's ID; it is never empty.
+	ID string
+	// Calls answers requests that other nodes send here.
+	Calls call.Server
+	// Controls answers control messages by kind.
+	Controls map[string]ControlFunc
+	// MaxBody bounds a request body in bytes.
+	MaxBody int
+	// Credentials hold certificate and authorities; never nil.
+	Credentials *Credentials
+
+	quic     *quic.Transport
+	listener *quic.Listener
+	streams  sync.WaitGroup
+
+	mu sync.Mutex
+	// links has at most maxLinks entries; the key is the peer's ID.
+	links  map[string]*link
+	closed bool
+}
+
+// Listen opens the UDP socket and starts to accept connections.
+func (t *Transport) Listen(addr string) error {
+	udpAddr, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "node address %q is not IP:port", addr)
+	}
+	socket, err := net.ListenUDP("udp", udpAddr)
+	if err != nil {
+		return eris.Wrapf(err, "listen on UDP %s; choose a free port", addr)
+	}
+	t.quic = &quic.Transport{Conn: socket}
+	t.listener, err = t.quic.Listen(t.Credentials.tlsConfig(), quicConfig())
+	if err != nil {
+		_ = socket.Close()
+		return eris.Wrap(err, "start QUIC listener")
+	}
+	go t.accept()
+	return nil
+}
+
+// Addr returns the UDP address in use.
+func (t *Transport) Addr() string { return t.quic.Conn.LocalAddr().String() }
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           dialTimeout,
+		MaxIdleTimeout:                 idleTimeout,
+		MaxIncomingStreams:             maxStreams,
+		MaxIncomingUniStreams:          -1,
+		InitialStreamReceiveWindow:     256 << 10,
+		MaxStreamReceiveWindow:         1 << 20,
+		InitialConnectionReceiveWindow: 1 << 20,
+		MaxConnectionReceiveWindow:     4 << 20,
+	}
+}
+
+// ReadDatagram returns the next sealed membership datagram on the shared port.
+func (t *Transport) ReadDatagram(ctx context.Context, buf []byte) (int, net.Addr, error) {
+	return t.quic.ReadNonQUICPacket(ctx, buf)
+}
+
+// WriteDatagram sends a membership datagram; its first two bits must be zero.
+func (t *Transport) WriteDatagram(packet []byte, addr net.Addr) (int, error) {
+	return t.quic.WriteTo(packet, addr)
+}
+
+func (t *Transport) link(peer Peer) (*link, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, fault.New(fault.KindStopped, "node %s is stopping", t.ID)
+	}
+	if t.links == nil {
+		t.links = make(map[string]*link)
+	}
+	l := t.links[peer.ID]
+	if l != nil && l.peer.Addr == peer.Addr {
+		return l, nil
+	}
+	if l != nil {
+		// The peer was replaced; its old connection must not be used again.
+		go l.close(codeIdle, "peer moved")
+		delete(t.links, peer.ID)
+	}
+	if len(t.links) >= maxLinks && !t.evictIdle() {
+		return nil, fault.New(fault.KindUnreachable, "all %d connections to other nodes are in use", maxLinks).
+			WithOutcome(fault.Refused)
+	}
+	l = &link{peer: peer}
+	t.links[peer.ID] = l
+	return l, nil
+}
+
+// evictIdle closes the least recently used link without requests in flight.
+func (t *Transport) evictIdle() bool {
+	var oldest *link
+	for _, l := range t.links {
+		if l.inFlight.Load() == 0 && (oldest == nil || l.used.Load() < oldest.used.Load()) {
+			oldest = l
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(t.links, oldest.peer.ID)
+	go oldest.close(codeIdle, "evicted")
+	return true
+}
+
+// Tick closes links that are silent or idle.
+func (t *Transport) Tick(now time.Time) {
+	for _, l := range t.snapshot() {
+		switch l.silence(now) {
+		case silenceClose:
+			l.close(codeSilent, "no packet received")
+		case silencePing:
+			l.ping()
+		case silenceNone:
+		}
+		if l.inFlight.Load() == 0 && now.UnixNano()-l.used.Load() > int64(idleTimeout) {
+			t.drop(l)
+		}
+	}
+}
+
+func (t *Transport) drop(l *link) {
+	t.mu.Lock()
+	if t.links[l.peer.ID] == l && l.inFlight.Load() == 0 {
+		delete(t.links, l.peer.ID)
+	}
+	t.mu.Unlock()
+	l.close(codeIdle, "idle")
+}
+
+func (t *Transport) snapshot() []*link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	links := make([]*link, 0, len(t.links))
+	for _, l := range t.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+// Links returns the number of open outgoing links.
+func (t *Transport) Links() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.links)
+}
+
+// Close waits for streams in flight until ctx ends, then closes the socket.
+func (t *Transport) Close(ctx context.Context) error {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		t.streams.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	for _, l := range t.snapshot() {
+		l.close(codeStopped, "node stopped")
+	}
+	_ = t.listener.Close()
+	err := t.quic.Close()
+	_ = t.quic.Conn.Close()
+	return err
+}
