Add settings, command line and demo (provisional membership)

Cause: a node could only be started from tests. Ruled out: decoding settings with yaml.v3, whose errors carry no column, and validator's min and max on time spans, which panic on types other than time.Duration. Change: internal/settings with positions and remedies in errors and a generated reference, subcommands node, check, keys, standin and demo.

--- /dev/null
+++ b/internal/cli/main.go
@@ -0,0 +1,46 @@
+// Package cli is the command line of vanillasail.
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/google/subcommands"
+)
+
+// Main runs the command named by the process arguments.
+func Main() int {
+	commander := subcommands.NewCommander(flag.CommandLine, "vanillasail")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(commander.CommandsCommand(), "")
+	commander.Register(&nodeCommand{}, "run")
+	commander.Register(&demoCommand{}, "run")
+	commander.Register(&checkCommand{}, "prepare")
+	commander.Register(&keysCommand{}, "prepare")
+	commander.Register(&standinCommand{}, "test")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return int(commander.Execute(ctx))
+}
+
+// logger returns a logger that writes one logfmt line for each event.
+func logger(level string) (*log.Logger, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	return &log.Logger{Handler: logfmt.New(os.Stderr), Level: parsed}, nil
+}
+
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	return subcommands.ExitFailure
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -205,3 +205,6 @@
 }
 
 var _ call.Server = (*far)(nil)
+
+// Servers returns what this node knows of the backend servers of a service.
+func (n *Node) Servers(service string) []routing.ServerState { return n.routes.Snapshot(service) }
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,137 @@
+// Package demo runs a small system in one process: nodes, stand-ins of backend
+// servers, and callers on loopback, with a few faults.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/vanillasail/vanillasail/internal/daemon"
+	"github.com/vanillasail/vanillasail/internal/node"
+	"github.com/vanillasail/vanillasail/internal/standin/server"
+)
+
+const (
+	service     = "stock"
+	serverSlots = 12
+	serverDelay = 5 * time.Millisecond
+	readyWait   = 10 * time.Second
+)
+
+// regions and domains of the demo; nodes are spread over them in turn.
+var places = []struct{ region, domain string }{
+	{"poa", "a"}, {"poa", "b"}, {"cwb", "a"}, {"cwb", "b"}, {"fln", "a"}, {"fln", "b"},
+}
+
+// Options are the size of a demo.
+type Options struct {
+	Nodes   int
+	Callers int
+	// Time is how long callers send requests.
+	Time time.Duration
+	Out  io.Writer
+}
+
+// system is everything that runs during a demo.
+type system struct {
+	Options
+	nodes   []*daemon.Node
+	servers []*server.Server
+	ledger  ledger
+}
+
+// Run runs the demo and reports whether every invariant held.
+func Run(ctx context.Context, o Options) (bool, error) {
+	s := &system{Options: o}
+	defer s.kill()
+	if err := s.start(ctx); err != nil {
+		return false, err
+	}
+	fmt.Fprintf(o.Out, "%d nodes and backend servers of service %q, %d callers, %s\n", o.Nodes, service, o.Callers, o.Time)
+	ctx, cancel := context.WithTimeout(ctx, o.Time)
+	defer cancel()
+	go s.faults(ctx)
+	go s.progress(ctx)
+	s.call(ctx)
+	return s.report(), nil
+}
+
+func (s *system) start(ctx context.Context) error {
+	authority, err := node.NewAuthority("demo", time.Hour)
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for i := range s.Nodes {
+		n, err := startNode(authority, i, seeds)
+		if err != nil {
+			return err
+		}
+		s.nodes = append(s.nodes, n)
+		seeds = append(seeds, n.PeerAddr())
+		b := &server.Server{Service: service, Slots: serverSlots, Delay: serverDelay, Announce: n.AnnounceAddr(), Entry: n.CallerAddr()}
+		if err := b.Start("127.0.0.1:0"); err != nil {
+			return err
+		}
+		s.servers = append(s.servers, b)
+	}
+	return s.awaitReady(ctx)
+}
+
+func startNode(authority *node.Authority, i int, seeds []string) (*daemon.Node, error) {
+	id := fmt.Sprintf("n%d", i)
+	cert, key, err := authority.Issue(id, time.Hour)
+	if err != nil {
+		return nil, err
+	}
+	credentials := &node.Credentials{}
+	if err := credentials.Replace(cert, key, authority.CertPEM); err != nil {
+		return nil, err
+	}
+	place := places[i%len(places)]
+	n := &daemon.Node{Options: daemon.Options{
+		ID: id, Region: place.region, Domain: place.domain,
+		Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Announce: "127.0.0.1:0",
+		Seeds: seeds, Credentials: credentials, Notice: 500 * time.Millisecond,
+		Log: &log.Logger{Handler: discard.Default},
+	}}
+	return n, n.Start()
+}
+
+// awaitReady waits until every node knows every backend server.
+func (s *system) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	poll := time.NewTicker(20 * time.Millisecond)
+	defer poll.Stop()
+	for {
+		ready := 0
+		for _, n := range s.nodes {
+			if len(n.Servers(service)) == s.Nodes {
+				ready++
+			}
+		}
+		if ready == s.Nodes {
+			return nil
+		}
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return fmt.Errorf("only %d of %d nodes knew all servers after %s", ready, s.Nodes, readyWait)
+		}
+	}
+}
+
+func (s *system) kill() {
+	for _, b := range s.servers {
+		b.Kill()
+	}
+	for _, n := range s.nodes {
+		n.Kill()
+	}
+}
--- /dev/null
+++ b/internal/demo/faults.go
@@ -0,0 +1,57 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const slowFactor = 10
+
+// faults injects one fault after another while callers send requests.
+func (s *system) faults(ctx context.Context) {
+	part := s.Time / 6
+	steps := []struct {
+		name string
+		do   func()
+	}{
+		{"n0: its backend server becomes 10 times slower", func() { s.servers[0].Set("slow", slowFactor) }},
+		{"n0: its backend server is back to normal", func() { s.servers[0].Set("slow", 0) }},
+		{"n1: its backend server drains", func() { s.drain(1) }},
+		{"n2: its backend server crashes", func() { s.servers[2].Kill() }},
+		{"n3: the node stops gracefully", func() { s.stopNode(ctx, 3) }},
+	}
+	for _, step := range steps {
+		if !sleep(ctx, part) {
+			return
+		}
+		fmt.Fprintln(s.Out, "fault:", step.name)
+		step.do()
+	}
+}
+
+func (s *system) drain(i int) {
+	s.ledger.drained(s.servers[i], time.Now())
+	s.servers[i].Drain()
+}
+
+// stopNode moves callers away from a node that stops, as a host replacement
+// does, and waits for its end.
+func (s *system) stopNode(ctx context.Context, i int) {
+	if i >= len(s.nodes) {
+		return
+	}
+	s.ledger.avoid(i)
+	go s.nodes[i].Stop(context.WithoutCancel(ctx))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/settings/checker.go
@@ -0,0 +1,90 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+var newValidator = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
+	rules := map[string]func(string) bool{
+		"name": namePattern.MatchString,
+		"hostport": func(s string) bool {
+			_, err := netip.ParseAddrPort(s)
+			return err == nil
+		},
+	}
+	limits := map[string]func(value, limit time.Duration) bool{
+		"atleast": func(value, limit time.Duration) bool { return value >= limit },
+		"atmost":  func(value, limit time.Duration) bool { return value <= limit },
+	}
+	for tag, valid := range limits {
+		_ = v.RegisterValidation(tag, func(f validator.FieldLevel) bool {
+			limit, err := time.ParseDuration(f.Param())
+			return err == nil && valid(time.Duration(f.Field().Int()), limit)
+		})
+	}
+	for tag, valid := range rules {
+		// Registration fails only for an empty tag or a nil function.
+		_ = v.RegisterValidation(tag, func(f validator.FieldLevel) bool { return valid(f.Field().String()) })
+	}
+	return v
+})
+
+var remedies = map[string]string{
+	"required": "set it",
+	"name":     "use 1 to 63 lower-case letters, digits, dots and hyphens",
+	"hostport": "write IP:port",
+	"url":      "write a URL such as http://10.0.0.1:9000",
+	"min":      "use at least %s",
+	"max":      "use at most %s",
+	"atleast":  "use at least %s",
+	"atmost":   "use at most %s",
+	"oneof":    "use one of: %s",
+}
+
+// explain turns validation errors into lines with position, key, value and
+// remedy.
+func explain(err error, text []byte) string {
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		return err.Error()
+	}
+	lines := make([]string, 0, len(fields))
+	for _, f := range fields {
+		_, key, _ := strings.Cut(f.Namespace(), ".")
+		remedy := remedies[f.Tag()]
+		if strings.Contains(remedy, "%s") {
+			remedy = fmt.Sprintf(remedy, f.Param())
+		}
+		lines = append(lines, fmt.Sprintf("%s%s: %q is not allowed; %s", position(text, key), key, fmt.Sprint(f.Value()), remedy))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// position returns "[line:column] " of a key, or nothing for a missing key.
+func position(text []byte, key string) string {
+	path, err := yaml.PathString("$." + key)
+	if err != nil {
+		return ""
+	}
+	found, err := path.ReadNode(bytes.NewReader(text))
+	if err != nil || found == nil {
+		return ""
+	}
+	at := found.GetToken().Position
+	return fmt.Sprintf("[%d:%d] ", at.Line, at.Column)
+}
--- /dev/null
+++ b/internal/settings/generate.go
@@ -0,0 +1,3 @@
+package settings
+
+//go:generate go run ./generate ../../docs/settings.md
--- a/main.go
+++ b/main.go
@@ -1,4 +1,10 @@
 // Command vanillasail runs a node of the load balancer and its tools.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/vanillasail/vanillasail/internal/cli"
+)
+
+func main() { os.Exit(cli.Main()) }
