--- a/pkg/routing/entry.go
+++ b/pkg/routing/entry.go
@@ -86,6 +86,7 @@
 // expected estimates the time to an answer in nanoseconds.
 func (e *entry) expected(p *pool, at time.Duration) float64 {
 	run := e.runTime(p.median, at)
+	run += p.config.Threshold * (run - p.median)
 	slots := e.slots * e.ramp(p.config.SlowStart, at)
 	over := excess(e.load(p.mean, at) + 1 - slots)
 	t := float64(e.link) + run + run*over/slots + e.failing*penalty*p.median
