Add pkg/budget, limits for measuring traffic

Cause: promise P1 needs a limit on probes, load reports and membership messages for each backend server and each ordered pair of regions. Ruled out: a token bucket of one second's burst plus refill, which lets a second hold up to twice the budget; a bucket of half the burst, which halves the sustained rate; a log of every message, whose size grows with the rate. Change: a sliding window of 62.5 ms slices that holds each message for 1.125 s, a clock that counts an interval for at most 125 ms so that a step of any size earns at most what the window holds extra, reserves of 50, 30 and 15 % for the higher classes, counters by class. Seen failing: with the interval uncapped the rapid test printed 'worst second {2 0}, budget {1 0}'; with one slice less, '{2 395}, budget {1 395}'; with a window of one second, '{2 0}, budget {1 0}'; with late readings followed at once the test of concurrent callers printed '249 != 20'; without the reserve, '100 != 50: probe'; without the mutex the race detector reported advance. Conclusion: no second exceeds the budget with at most one clock step a second. The sustained rate is 84 to 89 % of the budget, and Tick is needed at least every 125 ms.

--- /dev/null
+++ b/pkg/budget/limiter_test.go
@@ -0,0 +1,131 @@
+package budget
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+type spend struct {
+	at    time.Duration
+	bytes int64
+}
+
+// worstSecond returns the largest sums over all half-open seconds of real time.
+func worstSecond(log []spend) (worst Rate) {
+	var sum Rate
+	first := 0
+	for _, s := range log {
+		sum.Messages++
+		sum.Bytes += s.bytes
+		for ; s.at-log[first].at >= time.Second; first++ {
+			sum.Messages--
+			sum.Bytes -= log[first].bytes
+		}
+		worst.Messages = max(worst.Messages, sum.Messages)
+		worst.Bytes = max(worst.Bytes, sum.Bytes)
+	}
+	return worst
+}
+
+// pauses are at and beside the boundaries of the slices.
+var pauses = []time.Duration{0, 0, 1, slice - 1, slice, slice + 1, maxGap, time.Second - slice, time.Second - 1, time.Second}
+
+// Guards against a second of real time in which measuring exceeds its budget
+// (P1), at any alignment, with clock steps in both directions.
+func TestNoSecondExceedsTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := Rate{rapid.Int64Range(0, 30).Draw(t, "messages"), rapid.Int64Range(0, 3000).Draw(t, "bytes")}
+		var l Limiter
+		l.SetServers(rate)
+		now := time.Unix(1_000_000, 0)
+		var at, stepped time.Duration = 0, -time.Second
+		var log []spend
+		for range rapid.IntRange(1, 400).Draw(t, "calls") {
+			d := rapid.SampledFrom(pauses).Draw(t, "pause")
+			for ; d > 0; d -= maxGap {
+				at, now = at+min(d, maxGap), now.Add(min(d, maxGap))
+				l.Tick(now)
+			}
+			if at-stepped >= time.Second && rapid.Bool().Draw(t, "step?") {
+				now, stepped = now.Add(time.Duration(rapid.Int64Range(-1e15, 1e15).Draw(t, "step"))), at
+			}
+			class, size := Control-Class(rapid.IntRange(0, Classes-1).Draw(t, "class")), rapid.IntRange(0, 500).Draw(t, "size")
+			for l.Allow(class, size, now, Server("a")) {
+				log = append(log, spend{at, int64(size)})
+			}
+		}
+		worst := worstSecond(log)
+		assert.Assert(t, worst.Messages <= rate.Messages && worst.Bytes <= rate.Bytes, "worst second %v, budget %v", worst, rate)
+	})
+}
+
+// Guards against concurrent callers that together spend more than the budget,
+// and against late clock readings that earn the same interval twice.
+func TestConcurrentCallersShareOneBudget(t *testing.T) {
+	l, now := &Limiter{}, time.Unix(1_000_000, 0)
+	// The readings before the first one on time would count as several steps.
+	l.Tick(now)
+	var mu sync.Mutex
+	var log []spend
+	for round := range 300 {
+		at := time.Duration(round) * 10 * time.Millisecond
+		var group sync.WaitGroup
+		for caller := range 8 {
+			group.Go(func() {
+				late := time.Duration(caller) * 40 * time.Millisecond
+				if l.Allow(Control, 10, now.Add(at-late), Server("a")) {
+					mu.Lock()
+					defer mu.Unlock()
+					log = append(log, spend{at, 10})
+				}
+			})
+		}
+		group.Wait()
+	}
+	worst := worstSecond(log)
+	assert.Equal(t, worst.Messages, DefaultServer.Messages)
+}
+
+// Guards against lower classes that use what is reserved for higher ones.
+func TestLowerClassesLeaveAReserve(t *testing.T) {
+	l, now := &Limiter{}, time.Unix(0, 0)
+	l.SetLinks(Rate{Messages: 100, Bytes: 1 << 20})
+	for _, step := range []struct {
+		class Class
+		want  int
+	}{{Probe, 50}, {Report, 20}, {AntiEntropy, 15}, {Control, 15}, {Probe, 0}} {
+		n := 0
+		for l.Allow(step.class, 1, now, Link("poa", "cwb")) {
+			n++
+		}
+		assert.Equal(t, n, step.want, "%v", step.class)
+	}
+	spent, denied := l.Counters(Link("poa", "cwb")).Total()
+	assert.DeepEqual(t, [2]uint64{spent.Messages, denied.Messages}, [2]uint64{100, 5})
+}
+
+// Guards against a denied message that was charged to one of its two budgets.
+func TestAllKeysOrNone(t *testing.T) {
+	l, now := &Limiter{}, time.Unix(0, 0)
+	l.Set(Link("poa", "cwb"), Rate{})
+	assert.Assert(t, !l.Allow(Control, 1, now, Server("a"), Link("poa", "cwb")))
+	spent, _ := l.Counters(Server("a")).Total()
+	assert.Equal(t, spent.Messages, uint64(0))
+	assert.Assert(t, l.Allow(Probe, 1<<30, now, Link("poa", "poa")))
+}
+
+// Guards against a budget that stays spent until a clock that stepped back has
+// caught up.
+func TestBudgetReturnsAfterABackwardStep(t *testing.T) {
+	l, now := &Limiter{}, time.Unix(1_000_000, 0)
+	for l.Allow(Control, 1, now, Server("a")) {
+		continue
+	}
+	for now = now.Add(-time.Hour); !l.Allow(Control, 1, now, Server("a")); now = now.Add(maxGap) {
+		assert.Assert(t, now.Before(time.Unix(1_000_000, 0).Add(-59*time.Minute)))
+	}
+}
