Add clients of the table service and object store, and their stand-in

Cause: configuration, at-most-once shards, membership rows and reports need the store, and a write whose reply was lost must not be reported as failed. Ruled out: one error for every failed write. A refused connection, 429 and 503 prove that nothing changed; a timeout, a cut connection and any other 5xx do not. Also ruled out: repeating writes inside the client, because only the caller can tell its own write from another one. A slow write of the stand-in takes effect even after the client gave up, so a read-back that finds no row does not prove that the write failed. Conclusion: other parts can build on the clients; the caller of a write with an unknown outcome repeats the conditional write until it succeeds or conflicts.

--- /dev/null
+++ b/internal/standin/store/service.go
@@ -0,0 +1,181 @@
+package store
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Service is one of the two services. The zero value is empty and healthy.
+type Service struct {
+	mu         sync.Mutex
+	items      map[string]item
+	writeCount uint64
+	fault      Fault
+	// changed is closed by the next change of the switches.
+	changed       chan struct{}
+	writes, reads *rate.Limiter
+	operations    map[string]int
+	faults        map[string]int
+}
+
+type item struct {
+	value       []byte
+	contentType string
+	tag         string
+}
+
+// entry is one element of a listing; rows carry the value, objects the size.
+type entry struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Size  int    `json:"size"`
+	Tag   string `json:"etag"`
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request, key string, values bool) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	write := r.Method == http.MethodPut || r.Method == http.MethodDelete
+	if !s.enter(w, r, write) {
+		return
+	}
+	switch {
+	case r.Method == http.MethodGet && key == "":
+		s.list(w, r.URL.Query().Get("prefix"), values)
+	case r.Method == http.MethodGet:
+		s.get(w, key)
+	case write && key != "":
+		s.write(w, r, key, body)
+	default:
+		http.Error(w, "use GET, PUT or DELETE with a key", http.StatusMethodNotAllowed)
+	}
+}
+
+// enter applies the faults that come before an operation and reports whether it
+// goes on.
+func (s *Service) enter(w http.ResponseWriter, r *http.Request, write bool) bool {
+	s.mu.Lock()
+	f, changed := s.fault, s.changed
+	status := 0
+	switch {
+	case f.Down:
+		s.countFault("down")
+		status = http.StatusServiceUnavailable
+	case f.Silent:
+		s.countFault("silent")
+	case s.throttled(write):
+		s.countFault("throttled")
+		status = http.StatusTooManyRequests
+	case f.Slow > 0:
+		s.countFault("slow")
+	}
+	s.mu.Unlock()
+	switch {
+	case status != 0:
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "fault injected by the stand-in", status)
+		return false
+	case f.Silent:
+		select {
+		case <-r.Context().Done():
+		case <-changed:
+		}
+		panic(http.ErrAbortHandler)
+	case f.Slow > 0:
+		time.Sleep(f.Slow)
+	}
+	return true
+}
+
+func (s *Service) get(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	s.countOperation("get")
+	found, ok := s.items[key]
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("ETag", found.tag)
+	w.Header().Set("Content-Type", found.contentType)
+	_, _ = w.Write(found.value)
+}
+
+func (s *Service) list(w http.ResponseWriter, prefix string, values bool) {
+	s.mu.Lock()
+	s.countOperation("list")
+	entries := []entry{}
+	for key, found := range s.items {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		e := entry{Key: key, Size: len(found.value), Tag: found.tag}
+		if values {
+			e.Value = found.value
+		}
+		entries = append(entries, e)
+	}
+	s.mu.Unlock()
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	writeJSON(w, entries)
+}
+
+func (s *Service) write(w http.ResponseWriter, r *http.Request, key string, body []byte) {
+	s.mu.Lock()
+	s.countOperation(strings.ToLower(r.Method))
+	current, exists := s.items[key]
+	applies := allowed(r.Header, current, exists)
+	if applies {
+		s.apply(r, key, body)
+		if r.Context().Err() != nil {
+			s.countFault("late")
+		}
+	}
+	tag := s.items[key].tag
+	lose := applies && s.fault.Lose > 0
+	if lose {
+		s.fault.Lose--
+		s.countFault("lost")
+	}
+	s.mu.Unlock()
+	switch {
+	case lose:
+		panic(http.ErrAbortHandler)
+	case !applies:
+		http.Error(w, "precondition failed", http.StatusPreconditionFailed)
+	default:
+		w.Header().Set("ETag", tag)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (s *Service) apply(r *http.Request, key string, body []byte) {
+	if r.Method == http.MethodDelete {
+		delete(s.items, key)
+		return
+	}
+	if s.items == nil {
+		s.items = map[string]item{}
+	}
+	s.writeCount++
+	s.items[key] = item{value: body, contentType: r.Header.Get("Content-Type"), tag: fmt.Sprintf("%q", fmt.Sprint(s.writeCount))}
+}
+
+// allowed evaluates If-Match and If-None-Match (RFC 9110, 13.1).
+func allowed(header http.Header, current item, exists bool) bool {
+	if header.Get("If-None-Match") == "*" && exists {
+		return false
+	}
+	match := header.Get("If-Match")
+	return match == "" || exists && (match == "*" || match == current.tag)
+}
--- /dev/null
+++ b/internal/store/endpoint.go
@@ -0,0 +1,173 @@
+// Package store sends requests to the platform's table service and object
+// store over HTTP/1.1 and classifies what is known about their effect.
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"path"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+const (
+	// DefaultTimeout bounds one request when Endpoint.Timeout is zero.
+	DefaultTimeout = 2 * time.Second
+	// maxReply bounds the memory that one reply can take.
+	maxReply = 64 << 20
+)
+
+// defaultClient follows no redirects and uses no proxy: the endpoint is an IP
+// address from the settings.
+var defaultClient = &http.Client{
+	Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
+	},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+// Endpoint is the address of one service of the store. Clients embed it.
+type Endpoint struct {
+	// Base is the URL in front of the path, such as http://10.0.0.9:8080.
+	Base string
+	// HTTP is the client to use; nil means one that is shared by the process.
+	HTTP *http.Client
+	// Timeout bounds one request; zero means DefaultTimeout.
+	Timeout time.Duration
+}
+
+// Request is one request to the store.
+type Request struct {
+	Method string
+	Path   string // unescaped
+	Query  url.Values
+	Header http.Header
+	Body   []byte
+}
+
+// Reply is a reply with a 2xx status.
+type Reply struct {
+	Header http.Header
+	Body   []byte
+}
+
+// CheckKey refuses keys that do not survive a URL path unchanged.
+func CheckKey(key string) error {
+	if key == "" || path.Clean("/"+key) != "/"+key {
+		return fault.New(fault.KindBadRequest, "store key %q is empty or not a clean path", key)
+	}
+	return nil
+}
+
+// Do sends the request once and never repeats it. Its errors are of kind
+// not-found, conflict, store-down (nothing was changed) or write-unknown (a
+// write may have taken effect now, or may still take effect later).
+func (e Endpoint) Do(ctx context.Context, r Request) (Reply, error) {
+	timeout := e.Timeout
+	if timeout <= 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	// A request that never had a connection cannot have taken effect.
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := e.build(ctx, r)
+	if err != nil {
+		return Reply{}, err
+	}
+	client := e.HTTP
+	if client == nil {
+		client = defaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			// Idle connections to a silent peer would each cost one timeout.
+			client.CloseIdleConnections()
+		}
+		return Reply{}, lost(r, sent.Load(), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
+	if err == nil && len(body) > maxReply {
+		err = eris.Errorf("reply is longer than %d bytes", maxReply)
+	}
+	return classify(r, resp, body, err)
+}
+
+func (e Endpoint) build(ctx context.Context, r Request) (*http.Request, error) {
+	u, err := url.Parse(e.Base)
+	if err != nil || u.Host == "" {
+		return nil, fault.New(fault.KindBadRequest, "store address %q is not a URL", e.Base).
+			WithRemedy("set it as http://IP:PORT")
+	}
+	u.Path, u.RawQuery = u.Path+r.Path, r.Query.Encode()
+	req, err := http.NewRequestWithContext(ctx, r.Method, u.String(), bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, fault.New(fault.KindBadRequest, "request to the store: %v", err)
+	}
+	if r.Header != nil {
+		req.Header = r.Header
+	}
+	return req, nil
+}
+
+func classify(r Request, resp *http.Response, body []byte, readErr error) (Reply, error) {
+	switch code := resp.StatusCode; {
+	case code >= 200 && code < 300:
+		// The status alone proves a write, whatever happened to the body.
+		if readErr != nil && !r.write() {
+			return Reply{}, lost(r, true, readErr)
+		}
+		return Reply{Header: resp.Header, Body: body}, nil
+	case code == http.StatusNotFound:
+		return Reply{}, fault.New(fault.KindNotFound, "%s %s: no such row or object", r.Method, r.Path)
+	case code == http.StatusPreconditionFailed:
+		return Reply{}, fault.New(fault.KindConflict, "%s %s: changed by another writer", r.Method, r.Path).
+			WithRemedy("read it again, then decide")
+	case code == http.StatusTooManyRequests, code == http.StatusServiceUnavailable:
+		return Reply{}, down(r, "status %d", code).WithWait(retryAfter(resp))
+	case code >= 500:
+		return Reply{}, lost(r, true, eris.Errorf("status %d", code))
+	default:
+		return Reply{}, fault.New(fault.KindInternal, "%s %s: unexpected status %d", r.Method, r.Path, code).
+			WithRemedy("check the store's address in the settings")
+	}
+}
+
+func (r Request) write() bool { return r.Method == http.MethodPut || r.Method == http.MethodDelete }
+
+// lost classifies a request without a usable reply.
+func lost(r Request, sent bool, err error) error {
+	if r.write() && sent {
+		return fault.New(fault.KindWriteUnknown, "%s %s: %v", r.Method, r.Path, err)
+	}
+	return down(r, "%v", err)
+}
+
+func down(r Request, format string, args ...any) *fault.Error {
+	args = append([]any{r.Method, r.Path}, args...)
+	return fault.New(fault.KindStoreDown, "%s %s: "+format, args...)
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || s < 1 {
+		s = 1
+	}
+	return time.Duration(s) * time.Second
+}
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -56,6 +56,8 @@
 	KindNoOwner        Kind = "no-owner"
 	KindConflict       Kind = "conflict"
 	KindStoreDown      Kind = "store-down"
+	KindNotFound       Kind = "not-found"
+	KindWriteUnknown   Kind = "write-unknown"
 	KindForbidden      Kind = "forbidden"
 	KindInternal       Kind = "internal"
 )
@@ -148,6 +150,8 @@
 	KindNoOwner:        {Kind: KindNoOwner, Status: http.StatusServiceUnavailable, Outcome: Refused, Remedy: "send the same key again after the stated wait", Wait: 2 * time.Second},
 	KindConflict:       {Kind: KindConflict, Status: http.StatusConflict, Outcome: Refused, Remedy: "read the winning version, then make the change on top of it"},
 	KindStoreDown:      {Kind: KindStoreDown, Status: http.StatusServiceUnavailable, Outcome: Refused, Remedy: "nothing was changed; retry when the store is back", Wait: 5 * time.Second},
+	KindNotFound:       {Kind: KindNotFound, Status: http.StatusNotFound, Outcome: Refused, Remedy: "check the name"},
+	KindWriteUnknown:   {Kind: KindWriteUnknown, Status: http.StatusBadGateway, Outcome: Unknown, Remedy: "the write may have taken effect; read the row back before writing again"},
 	KindForbidden:      {Kind: KindForbidden, Status: http.StatusForbidden, Outcome: Refused, Remedy: "use a token whose role allows this"},
 	KindInternal:       {Kind: KindInternal, Status: http.StatusInternalServerError, Outcome: Unknown, Remedy: "report the request ID to the operators"},
 }
