Add configuration documents, versions and the Keeper

Ruled out: reading the row back once after a lost reply and calling an absent row "not accepted": the write may still be on its way. The conditional write is repeated instead until it succeeds or conflicts, and change IDs are compared. Ruled out as well: a listing to find the newest version, which would carry every body; versions have no gaps, so single reads find it. Undo as a copy of an old version would take back later changes too; it takes back one version's differences and refuses fields that were changed again. A version that only reached a process which restarts while the store is down is missing until the store is back.

--- /dev/null
+++ b/pkg/config/keeper.go
@@ -0,0 +1,157 @@
+package config
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// submitAttempts bounds how often one Submit repeats a write whose outcome is
+// unknown before it reports that.
+const submitAttempts = 3
+
+// Store keeps accepted records, one row for each version. Errors are of the
+// kinds of package fault.
+type Store interface {
+	// Create writes the record if its version has no row yet. Errors:
+	// KindConflict, KindStoreDown (nothing was changed), KindWriteUnknown.
+	Create(ctx context.Context, r Record) error
+	// Load returns the record of a version. Errors: KindNotFound,
+	// KindStoreDown.
+	Load(ctx context.Context, v Version) (Record, error)
+}
+
+// Snapshot is the configuration in force at one node.
+type Snapshot struct {
+	Record
+	Document Document
+}
+
+// Keeper holds the configuration in force at one node and submits changes. It
+// is safe for concurrent use and holds no lock during a call. Set the exported
+// fields before the first call.
+type Keeper struct {
+	Store Store
+	Peers Peers
+	// First lets the node start without an answer from the store or a peer.
+	First bool
+
+	// current only ever moves to a higher version; nil is version 0.
+	current atomic.Pointer[Snapshot]
+	ready   atomic.Bool
+}
+
+// Current returns the configuration in force. It takes no lock and does not
+// allocate after the first version.
+func (k *Keeper) Current() *Snapshot {
+	if s := k.current.Load(); s != nil {
+		return s
+	}
+	return &Snapshot{}
+}
+
+// Version returns the version in force.
+func (k *Keeper) Version() Version { return k.Current().Version }
+
+// Apply puts an accepted record in force if its version is higher than the one
+// in force, and reports whether it did.
+func (k *Keeper) Apply(r Record) (bool, error) {
+	if r.Version <= k.Version() {
+		return false, nil
+	}
+	d, err := DecodeAccepted([]byte(r.Body))
+	if err != nil {
+		return false, err
+	}
+	next := &Snapshot{Record: r, Document: d}
+	for {
+		old := k.current.Load()
+		if old != nil && r.Version <= old.Version {
+			return false, nil
+		}
+		if k.current.CompareAndSwap(old, next) {
+			return true, nil
+		}
+	}
+}
+
+// Submit asks the store to accept the change as version base+1 and puts it in
+// force here. Errors: KindBadRequest, KindConflict naming the winner,
+// KindStoreDown (nothing was changed), or KindWriteUnknown, after which the
+// same change may be submitted again.
+func (k *Keeper) Submit(ctx context.Context, c Change) (Record, error) {
+	if err := c.check(); err != nil {
+		return Record{}, err
+	}
+	if err := k.checkBase(ctx, c.Base); err != nil {
+		return Record{}, err
+	}
+	r := Record{Version: c.Base + 1, Change: c}
+	if c.Base < k.Version() {
+		winner, err := k.Load(ctx, r.Version)
+		if err != nil {
+			return Record{}, unread(r, err)
+		}
+		return k.settle(r, winner.Record)
+	}
+	return k.create(ctx, r)
+}
+
+// checkBase refuses a base that was never accepted: a gap would hide all later
+// versions from the nodes that look for them.
+func (k *Keeper) checkBase(ctx context.Context, base Version) error {
+	if base <= k.Version() {
+		return nil
+	}
+	if err := k.Poll(ctx); err != nil {
+		return err
+	}
+	if base > k.Version() {
+		return fault.New(fault.KindBadRequest, "base version %d does not exist; the newest is %d", base, k.Version()).
+			WithRemedy("make the change on top of the newest version")
+	}
+	return nil
+}
+
+// create repeats the conditional write until its outcome is known. A row that
+// is absent after a lost reply proves nothing, because the write may still be
+// on its way. A conflict proves nothing either until the row was read: it may
+// hold this change, submitted through another node.
+func (k *Keeper) create(ctx context.Context, r Record) (Record, error) {
+	unknown := false
+	var err error
+	for range submitAttempts {
+		err = k.Store.Create(ctx, r)
+		switch {
+		case err == nil:
+			_, err = k.Apply(r)
+			return r, err
+		case fault.Is(err, fault.KindConflict), fault.Is(err, fault.KindWriteUnknown):
+			unknown = true
+			if winner, loadErr := k.Store.Load(ctx, r.Version); loadErr == nil {
+				return k.settle(r, winner)
+			}
+		case !unknown:
+			return Record{}, err
+		}
+	}
+	return Record{}, unread(r, err)
+}
+
+// settle compares the change with the row that holds its version.
+func (k *Keeper) settle(r, winner Record) (Record, error) {
+	if _, err := k.Apply(winner); err != nil {
+		return Record{}, err
+	}
+	if winner.ID == r.ID {
+		return winner, nil
+	}
+	return Record{}, fault.New(fault.KindConflict, "version %d was already made by %s: %q", winner.Version, winner.Author, winner.Reason).
+		WithRemedy("nothing of this change was applied; rebase: look at the winner with diff and make the change on the newest version")
+}
+
+func unread(r Record, err error) error {
+	return fault.New(fault.KindWriteUnknown, "change %s may have become version %d, or may still become it: %v", r.ID, r.Version, err).
+		WithRemedy("submit the same change ID with the same base again, or look at that version when the store is back")
+}
--- /dev/null
+++ b/pkg/config/keeper_test.go
@@ -0,0 +1,53 @@
+package config_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/pkg/config"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+func submit(t *testing.T, k *config.Keeper, id, body string) config.Record {
+	t.Helper()
+	c := config.Change{ID: id, Author: "ana", Reason: "reason of " + id, Base: k.Version(), Body: body}
+	r, err := k.Submit(context.Background(), c)
+	assert.NilError(t, err)
+	return r
+}
+
+// Guards against an undo that takes back other changes too, or silently
+// overwrites a later change of the same field.
+func TestUndoKeepsOtherChanges(t *testing.T) {
+	k := newCluster(1).nodes[0].keeper
+	submit(t, k, "a", "tenants: {geada: {weight: 1}}")
+	submit(t, k, "b", "tenants: {geada: {weight: 2}, union: {weight: 1}}")
+	submit(t, k, "c", "tenants: {geada: {weight: 2}, union: {weight: 5}}")
+	_, err := k.Reverted(t.Context(), 1)
+	assert.Assert(t, fault.Is(err, fault.KindConflict), "%v", err)
+	assert.ErrorContains(t, err, "tenants.geada was changed again")
+	d, err := k.Reverted(t.Context(), 3)
+	assert.NilError(t, err)
+	assert.Equal(t, len(config.Diff(d, decode(t, "tenants: {geada: {weight: 2}, union: {weight: 1}}"))), 0)
+	history, err := k.History(t.Context(), 2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 2)
+	assert.Equal(t, history[0].ID, "c")
+	assert.Equal(t, history[1].Reason, "reason of b")
+}
+
+// Guards against a conflict that does not say who won, and a change that is
+// recorded without author or reason.
+func TestConflictNamesTheWinner(t *testing.T) {
+	c := newCluster(2)
+	submit(t, c.nodes[0].keeper, "a", "")
+	_, err := c.nodes[1].keeper.Submit(t.Context(), config.Change{ID: "b", Author: "rui", Reason: "r"})
+	assert.Assert(t, fault.Is(err, fault.KindConflict), "%v", err)
+	assert.ErrorContains(t, err, `version 1 was already made by ana: "reason of a"`)
+	assert.ErrorContains(t, err, "rebase")
+	assert.Equal(t, c.nodes[1].keeper.Version(), config.Version(1), "the winner is in force")
+	_, err = c.nodes[1].keeper.Submit(t.Context(), config.Change{ID: "b", Author: "rui"})
+	assert.ErrorContains(t, err, "change has no reason")
+}
