Replace provisional membership by gossip and wire the configuration Keeper

Cause: the provisional membership knew only its seeds, so 1 of 6 nodes of the demo knew all servers. Ruled out: keeping a list of peers in the settings; servers announce themselves. Change: internal/daemon uses internal/gossip, the table's member rows and pkg/config; a node refuses callers until it knows its configuration. Conclusion: the thin path stands; admission, retries, quarantine and at-most-once come next.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -15,10 +15,12 @@
 
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/internal/standin/server"
+	"github.com/vanillasail/vanillasail/internal/standin/store"
 )
 
 // cluster is a few nodes with a stand-in server each, in one process.
 type cluster struct {
+	store   store.Server
 	nodes   []*Node
 	servers []*server.Server
 	client  http.Client
@@ -29,15 +31,12 @@
 	authority, err := node.NewAuthority("test", time.Hour)
 	assert.NilError(t, err)
 	c := &cluster{}
+	assert.NilError(t, c.store.Start("127.0.0.1:0"))
+	t.Cleanup(func() { _ = c.store.Stop(context.Background()) })
 	for i := range size {
-		c.nodes = append(c.nodes, startNode(t, authority, i))
-	}
-	seeds := make([]string, size)
-	for i, n := range c.nodes {
-		seeds[i] = n.PeerAddr()
+		c.nodes = append(c.nodes, c.startNode(t, authority, i))
 	}
 	for _, n := range c.nodes {
-		n.setSeeds(seeds)
 		s := &server.Server{Service: "stock", Slots: 12, Announce: n.AnnounceAddr(), Entry: n.CallerAddr()}
 		assert.NilError(t, s.Start("127.0.0.1:0"))
 		t.Cleanup(s.Kill)
@@ -49,7 +48,7 @@
 	return c
 }
 
-func startNode(t *testing.T, authority *node.Authority, i int) *Node {
+func (c *cluster) startNode(t *testing.T, authority *node.Authority, i int) *Node {
 	t.Helper()
 	cert, key, err := authority.Issue(fmt.Sprintf("n%d", i), time.Hour)
 	assert.NilError(t, err)
@@ -58,6 +57,7 @@
 	n := &Node{Options: Options{
 		ID: fmt.Sprintf("n%d", i), Region: "poa", Domain: fmt.Sprintf("d%d", i%2),
 		Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Announce: "127.0.0.1:0",
+		Secret: "a secret of the test cluster", Table: c.store.URL(), Object: c.store.URL(),
 		Credentials: credentials, Notice: 50 * time.Millisecond,
 		Log: &log.Logger{Handler: discard.Default},
 	}}
@@ -69,6 +69,9 @@
 func (c *cluster) awaitServers(t *testing.T, i, want int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !c.nodes[i].config.Ready() {
+			return poll.Continue("node %d has no configuration", i)
+		}
 		if got := len(c.nodes[i].routes.Snapshot("stock")); got != want {
 			return poll.Continue("node %d knows %d of %d servers", i, got, want)
 		}
--- /dev/null
+++ b/internal/daemon/configuration.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/node"
+	"github.com/vanillasail/vanillasail/internal/table"
+	"github.com/vanillasail/vanillasail/pkg/config"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/member"
+)
+
+const (
+	kindConfigVersion = "config-version"
+	kindConfigFetch   = "config-fetch"
+	pollInterval      = 15 * time.Second
+	peerTimeout       = time.Second
+	// maxAsked bounds how many peers are asked at once for their version.
+	maxAsked = 16
+)
+
+// configuration keeps the configuration in force and spreads its version.
+type configuration struct {
+	common
+	config.Keeper
+	members *membership
+	node    *node.Transport
+	// polled is when the table was last asked.
+	polled time.Time
+}
+
+func (c *configuration) controls(all map[string]node.ControlFunc) {
+	all[kindConfigVersion] = func(context.Context, string, []byte) ([]byte, error) {
+		return json.Marshal(c.Version())
+	}
+	all[kindConfigFetch] = func(context.Context, string, []byte) ([]byte, error) {
+		record := c.Current().Record
+		return record.Encode()
+	}
+}
+
+func (c *configuration) start() {
+	c.Store = table.ConfigRows{Client: c.tableClient()}
+	c.Peers = configPeers{c}
+	c.Keeper.First = c.Options.First
+}
+
+// follow learns what is newer; it does I/O and runs outside the tick.
+func (c *configuration) follow(ctx context.Context, now time.Time) {
+	before := c.Version()
+	if !c.Ready() {
+		if err := c.Join(ctx); err != nil {
+			c.Log.WithError(err).WithField("node", c.ID).Debug("configuration not known yet")
+		}
+	}
+	if version, from := c.members.protocol.Config(); config.Version(version) > c.Version() {
+		if err := c.Learn(ctx, from.ID, config.Version(version)); err != nil {
+			c.Log.WithError(err).WithField("node", c.ID).WithField("from", from.ID).Warn("configuration not fetched")
+		}
+	}
+	if now.Sub(c.polled) >= pollInterval {
+		c.polled = now
+		if err := c.Poll(ctx); err != nil {
+			c.Log.WithError(err).WithField("node", c.ID).Debug("table not asked for a configuration")
+		}
+	}
+	if after := c.Version(); after != before {
+		c.Log.WithField("node", c.ID).WithField("version", uint64(after)).
+			WithField("change", c.Current().ID).Info("configuration in force")
+	}
+	c.members.protocol.SetConfig(uint64(c.Version()))
+}
+
+// Idempotent implements caller.Rules.
+func (c *configuration) Idempotent(service, method, path string) (idempotent, known bool) {
+	s, ok := c.Current().Document.Services[service]
+	if !ok {
+		return false, false
+	}
+	return s.Idempotent(method, path), true
+}
+
+// Timeout implements caller.Rules.
+func (c *configuration) Timeout(service string) (usual, longest time.Duration) {
+	return c.Current().Document.Services[service].Timeouts()
+}
+
+// configPeers reaches the configuration of other nodes.
+type configPeers struct{ *configuration }
+
+// Versions implements config.Peers.
+func (p configPeers) Versions(ctx context.Context) []config.PeerVersion {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var (
+		mu    sync.Mutex
+		found []config.PeerVersion
+		wg    sync.WaitGroup
+	)
+	gate := make(chan struct{}, maxAsked)
+	for _, m := range p.members.protocol.Table().Members() {
+		if m.ID == p.ID {
+			continue
+		}
+		wg.Go(func() {
+			gate <- struct{}{}
+			defer func() { <-gate }()
+			if v, ok := p.version(ctx, m); ok {
+				mu.Lock()
+				found = append(found, config.PeerVersion{Peer: m.ID, Version: v})
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return found
+}
+
+func (p configPeers) version(ctx context.Context, m member.Member) (config.Version, bool) {
+	reply, err := p.node.Control(ctx, node.Peer{ID: m.ID, Addr: m.Addr}, kindConfigVersion, nil)
+	if err != nil {
+		return 0, false
+	}
+	var v config.Version
+	return v, json.Unmarshal(reply, &v) == nil
+}
+
+// Fetch implements config.Peers.
+func (p configPeers) Fetch(ctx context.Context, peer string) (config.Record, error) {
+	addr, ok := p.members.peer(peer)
+	if !ok {
+		return config.Record{}, fault.New(fault.KindUnreachable, "the address of node %s is not known", peer)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := p.node.Control(ctx, addr, kindConfigFetch, nil)
+	if err != nil {
+		return config.Record{}, err
+	}
+	return config.DecodeRecord(reply)
+}
--- a/internal/daemon/from_settings.go
+++ b/internal/daemon/from_settings.go
@@ -15,6 +15,8 @@
 		ID: s.Node.ID, Region: s.Node.Region, Domain: s.Node.Domain,
 		Caller: s.Listen.Caller, Peer: s.Listen.Peer, Announce: s.Listen.Announce,
 		Advertise: s.Listen.Advertise, Seeds: s.Seeds, Credentials: credentials,
+		Secret: s.Secret, Table: s.Store.Table, Object: s.Store.Object,
+		StoreTimeout: time.Duration(s.Store.Timeout), First: s.Node.First,
 		MaxBody: int(s.Body), Notice: time.Duration(s.Notice), Log: logger,
 	}
 }
--- /dev/null
+++ b/internal/daemon/membership.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/gossip"
+	"github.com/vanillasail/vanillasail/internal/node"
+	"github.com/vanillasail/vanillasail/internal/table"
+	"github.com/vanillasail/vanillasail/pkg/budget"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/member"
+	"github.com/vanillasail/vanillasail/pkg/routing"
+)
+
+// membership connects the membership protocol to the routing table.
+type membership struct {
+	common
+	protocol  member.Protocol
+	gossip    gossip.Node
+	announcer gossip.Announcer
+	routes    *routing.Table
+	// ticked is when the protocol was last ticked.
+	ticked time.Time
+}
+
+func (m *membership) start(ctx context.Context, conn gossip.Conn, addr string, limits *budget.Limiter) error {
+	sealer, err := gossip.NewSealer([]byte(m.Secret))
+	if err != nil {
+		return err
+	}
+	m.protocol.Self = member.Member{
+		Ref:    member.Ref{ID: m.ID, Incarnation: member.NextIncarnation(0, time.Now())},
+		Addr:   addr,
+		Region: m.Region,
+		Domain: m.Domain,
+	}
+	m.protocol.Seeds = m.Seeds
+	m.gossip.Conn, m.gossip.Protocol, m.gossip.Sealer = conn, &m.protocol, sealer
+	m.gossip.Budget, m.gossip.Observer = gossipBudget{limits}, m
+	m.announcer.Node = &m.gossip
+	m.announcer.Rows = memberRows{m.tableClient()}
+	m.gossip.Start(ctx)
+	return nil
+}
+
+// tick drives the protocol at its own interval.
+func (m *membership) tick(now time.Time) {
+	if now.Sub(m.ticked) >= member.Interval {
+		m.ticked = now
+		m.gossip.Tick(now)
+	}
+}
+
+// announce spreads the state of the backend server beside this node.
+func (m *membership) announce(now time.Time, server announcement, stopping bool) {
+	state := member.StateAlive
+	switch {
+	case stopping:
+		state = member.StateLeaving
+	case server.State == stateDraining:
+		state = member.StateDraining
+	}
+	own := m.protocol.Own()
+	if own.Service == server.Service && own.Slots == server.Slots && own.Own == state {
+		return
+	}
+	m.gossip.Update(now, func(own member.Member) member.Member {
+		return own.WithService(server.Service).WithSlots(server.Slots).WithState(state)
+	})
+	m.route(own.WithService(server.Service).WithSlots(server.Slots).WithState(state), own.Service, now)
+}
+
+// MembersChanged implements gossip.Observer.
+func (m *membership) MembersChanged(events []member.Event) {
+	now := time.Now()
+	for _, e := range events {
+		if e.Kind != member.EventChanged {
+			m.Log.WithField("node", m.ID).WithField("member", e.Member.Ref.String()).
+				WithField("service", e.Member.Service).WithField("change", e.Kind.String()).Info("member " + e.Kind.String())
+		}
+		if e.Kind == member.EventRemoved {
+			m.removeEverywhere(e.Member.ID)
+			continue
+		}
+		m.route(e.Member, "", now)
+	}
+}
+
+// route copies one member into the routing table. before is the service that
+// the member served until now, or empty when it is not known.
+func (m *membership) route(other member.Member, before string, now time.Time) {
+	if before != "" && before != other.Service {
+		m.routes.Remove(before, other.ID)
+	}
+	if other.Service == "" {
+		m.removeEverywhere(other.ID)
+		return
+	}
+	m.routes.Upsert(routing.Server{
+		ID: other.ID, Service: other.Service, Region: other.Region, Domain: other.Domain, Slots: other.Slots,
+	}, now)
+	m.routes.SetDraining(other.Service, other.ID, !other.Accepts())
+}
+
+func (m *membership) removeEverywhere(id string) {
+	for _, service := range m.routes.Services() {
+		m.routes.Remove(service, id)
+	}
+}
+
+func (m *membership) peer(id string) (node.Peer, bool) {
+	other, ok := m.protocol.Table().Get(id)
+	return node.Peer{ID: id, Addr: other.Addr}, ok
+}
+
+// gossipBudget passes membership traffic through the measuring budget.
+type gossipBudget struct{ limits *budget.Limiter }
+
+// Allow implements gossip.Budget.
+func (b gossipBudget) Allow(link gossip.Link, class member.Class, bytes int, now time.Time) bool {
+	shed := budget.Control
+	if class == member.ClassAntiEntropy {
+		shed = budget.AntiEntropy
+	}
+	return b.limits.Allow(shed, bytes, now, budget.Link(link.From, link.To))
+}
+
+// memberRows keeps member rows in the table. Only the node itself writes its
+// row, so the last write wins.
+type memberRows struct{ table.Client }
+
+// List implements gossip.Rows.
+func (r memberRows) List(ctx context.Context, prefix string) (map[string][]byte, error) {
+	rows, err := r.Client.List(ctx, prefix)
+	values := make(map[string][]byte, len(rows))
+	for _, row := range rows {
+		values[row.Key] = row.Value
+	}
+	return values, err
+}
+
+// Put implements gossip.Rows.
+func (r memberRows) Put(ctx context.Context, key string, value []byte) error {
+	_, err := r.Create(ctx, key, value)
+	if !fault.Is(err, fault.KindConflict) {
+		return err
+	}
+	old, err := r.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	_, err = r.Swap(ctx, key, old.Tag, value)
+	return err
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -6,13 +6,14 @@
 	"encoding/json"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/caller"
 	"github.com/vanillasail/vanillasail/internal/http1"
 	"github.com/vanillasail/vanillasail/internal/node"
+	"github.com/vanillasail/vanillasail/pkg/budget"
+	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/routing"
 )
 
@@ -21,16 +22,17 @@
 	Options
 
 	routes   routing.Table
+	limits   budget.Limiter
 	local    localServer
 	gate     gate
 	far      far
 	entry    entry
-	members  members
+	members  membership
+	config   configuration
 	peers    node.Transport
 	callers  caller.Server
 	announce http1.Server
 
-	seeds  atomic.Pointer[[]string]
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -38,31 +40,47 @@
 // Start binds the addresses and begins to serve.
 func (n *Node) Start() error {
 	n.Options = n.withDefaults()
-	n.setSeeds(n.Seeds)
-	shared := common{Options: &n.Options}
-	n.routes.Config = routing.Config{Node: n.ID, Region: n.Region, Domain: n.Domain}
-	n.far = far{common: shared, local: &n.local, gate: &n.gate}
-	n.members = members{self: n.self, node: &n.peers}
-	n.entry = entry{common: shared, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, retries: &retries{}}
-	n.peers.ID, n.peers.MaxBody, n.peers.Credentials = n.ID, n.MaxBody, n.Credentials
-	n.peers.Calls = &n.far
-	n.peers.Controls = map[string]node.ControlFunc{kindHello: n.members.answer}
-	n.callers.Calls, n.callers.Rules, n.callers.MaxBody = &n.entry, defaultRules{}, n.MaxBody
-	n.announce.Handler = n.handleAnnounce
+	n.assemble()
 	if err := n.listen(); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	if err := n.members.start(ctx, &n.peers, n.advertised(), &n.limits); err != nil {
+		return err
+	}
 	n.done.Add(2)
 	go n.tickLoop(ctx)
-	go n.helloLoop(ctx)
+	go n.followLoop(ctx)
 	n.Log.WithField("node", n.ID).WithField("caller", n.callers.Addr()).
 		WithField("peer", n.peers.Addr()).WithField("announce", n.announce.Addr()).Info("node started")
 	return nil
 }
 
-func (n *Node) setSeeds(seeds []string) { n.seeds.Store(&seeds) }
+// assemble connects the parts; nothing runs yet.
+func (n *Node) assemble() {
+	shared := common{Options: &n.Options}
+	n.routes.Config = routing.Config{Node: n.ID, Region: n.Region, Domain: n.Domain}
+	n.far = far{common: shared, local: &n.local, gate: &n.gate}
+	n.members.common, n.members.routes = shared, &n.routes
+	n.config.common, n.config.members, n.config.node = shared, &n.members, &n.peers
+	n.config.start()
+	n.entry = entry{common: shared, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, retries: &retries{}}
+	n.peers.ID, n.peers.MaxBody, n.peers.Credentials = n.ID, n.MaxBody, n.Credentials
+	n.peers.Calls = &n.far
+	n.peers.Controls = make(map[string]node.ControlFunc)
+	n.config.controls(n.peers.Controls)
+	n.callers.Calls, n.callers.Rules, n.callers.MaxBody = n, &n.config, n.MaxBody
+	n.announce.Handler = n.handleAnnounce
+}
+
+// Serve implements call.Server for requests of callers.
+func (n *Node) Serve(ctx context.Context, r call.Request) (*call.Answer, error) {
+	if !n.config.Ready() {
+		return nil, fault.New(fault.KindStopped, "node %s has no configuration yet", n.ID)
+	}
+	return n.entry.Serve(ctx, r)
+}
 
 func (n *Node) listen() error {
 	if err := n.peers.Listen(n.Peer); err != nil {
@@ -83,16 +101,11 @@
 // AnnounceAddr returns the address on which the backend server announces itself.
 func (n *Node) AnnounceAddr() string { return n.announce.Addr() }
 
-func (n *Node) self() member {
-	server := n.local.get()
-	addr := n.Advertise
-	if addr == "" {
-		addr = n.peers.Addr()
-	}
-	return member{
-		ID: n.ID, Addr: addr, Service: server.Service, Region: n.Region, Domain: n.Domain,
-		Slots: server.Slots, Draining: server.State == stateDraining || n.far.stopping.Load(),
+func (n *Node) advertised() string {
+	if n.Advertise != "" {
+		return n.Advertise
 	}
+	return n.peers.Addr()
 }
 
 func (n *Node) tickLoop(ctx context.Context) {
@@ -111,40 +124,29 @@
 
 // tick runs every system once.
 func (n *Node) tick(now time.Time) {
+	n.limits.Tick(now)
 	n.callers.Tick()
 	n.peers.Tick(now)
 	n.local.expire(now)
-	n.syncRoutes(now)
+	n.members.announce(now, n.local.get(), n.far.stopping.Load())
+	n.members.tick(now)
 	n.routes.Tick(now)
 }
 
-// syncRoutes copies the membership into the routing table.
-func (n *Node) syncRoutes(now time.Time) {
-	live, gone := n.members.list(now)
-	live = append(live, n.self())
-	for _, m := range live {
-		if m.Service == "" {
-			continue
-		}
-		n.routes.Upsert(routing.Server{ID: m.ID, Service: m.Service, Region: m.Region, Domain: m.Domain, Slots: m.Slots}, now)
-		n.routes.SetDraining(m.Service, m.ID, m.Draining)
-	}
-	for _, m := range gone {
-		n.routes.Remove(m.Service, m.ID)
-	}
-}
-
-func (n *Node) helloLoop(ctx context.Context) {
+// followLoop does the slow work that talks to the store and to other nodes.
+func (n *Node) followLoop(ctx context.Context) {
 	defer n.done.Done()
-	tick := time.NewTicker(helloInterval)
+	if err := n.members.announcer.Join(ctx, time.Now()); err != nil {
+		n.Log.WithError(err).WithField("node", n.ID).Warn("table not reached")
+	}
+	tick := time.NewTicker(followInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
-			for _, seed := range *n.seeds.Load() {
-				if seed != n.peers.Addr() && seed != n.Advertise {
-					n.members.ask(ctx, seed)
-				}
+			n.config.follow(ctx, time.Now())
+			if err := n.members.announcer.Refresh(ctx, time.Now()); err != nil {
+				n.Log.WithError(err).WithField("node", n.ID).Debug("member row not refreshed")
 			}
 		case <-ctx.Done():
 			return
@@ -174,10 +176,12 @@
 func (n *Node) Stop(ctx context.Context) {
 	n.Log.WithField("node", n.ID).Info("node stopping")
 	n.far.stopping.Store(true)
+	n.members.gossip.Leave(time.Now())
 	left := n.callers.Drain(ctx, n.Notice)
 	_ = n.peers.Close(ctx)
 	n.cancel()
 	n.done.Wait()
+	n.members.gossip.Stop()
 	n.callers.Close()
 	n.announce.Close()
 	n.Log.WithField("node", n.ID).WithField("left", left).Info("node stopped")
@@ -193,18 +197,5 @@
 	_ = n.peers.Close(ctx)
 }
 
-// defaultRules hold until a configuration is in force.
-type defaultRules struct{}
-
-// Idempotent implements caller.Rules.
-func (defaultRules) Idempotent(string, string, string) (idempotent, known bool) { return false, false }
-
-// Timeout implements caller.Rules.
-func (defaultRules) Timeout(string) (usual, longest time.Duration) {
-	return usualTimeout, longestTimeout
-}
-
-var _ call.Server = (*far)(nil)
-
 // Servers returns what this node knows of the backend servers of a service.
 func (n *Node) Servers(service string) []routing.ServerState { return n.routes.Snapshot(service) }
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -6,6 +6,8 @@
 	"github.com/apex/log"
 
 	"github.com/vanillasail/vanillasail/internal/node"
+	"github.com/vanillasail/vanillasail/internal/store"
+	"github.com/vanillasail/vanillasail/internal/table"
 )
 
 // Options are the settings of one node.
@@ -18,6 +20,14 @@
 	Caller, Peer, Announce string
 	// Advertise is the peer address that other nodes use; empty means Peer.
 	Advertise string
+	// Secret seals membership datagrams; all nodes share it.
+	Secret string
+	// Table and Object are the URLs of the platform's services.
+	Table, Object string
+	// StoreTimeout bounds one request to the store.
+	StoreTimeout time.Duration
+	// First starts a cluster without waiting for the store or another node.
+	First bool
 	// Seeds are peer addresses of other nodes to join through.
 	Seeds []string
 	// Credentials are never nil.
@@ -33,11 +43,9 @@
 const (
 	defaultMaxBody = 8 << 20
 	defaultNotice  = 2 * time.Second
-	// usualTimeout and longestTimeout bound a request that names no or a longer
-	// Request-Timeout.
-	usualTimeout   = 10 * time.Second
-	longestTimeout = 30 * time.Second
 	tickInterval   = 20 * time.Millisecond
+	// followInterval is how often slow work (store, configuration) is looked at.
+	followInterval = 100 * time.Millisecond
 )
 
 // common is embedded by the parts of a node.
@@ -45,6 +53,10 @@
 	*Options
 }
 
+func (o *Options) tableClient() table.Client {
+	return table.Client{Endpoint: store.Endpoint{Base: o.Table, Timeout: o.StoreTimeout}}
+}
+
 func (o Options) withDefaults() Options {
 	if o.MaxBody == 0 {
 		o.MaxBody = defaultMaxBody
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -49,7 +49,9 @@
 	if r.key != "" && n%resendEvery == 0 {
 		r.id += "-again"
 		r.class = "resend"
-		s.send(client, (entry+1)%len(s.nodes), r)
+		if other, ok := s.ledger.entry(entry+1, len(s.nodes)); ok {
+			s.send(client, other, r)
+		}
 	}
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,6 +14,7 @@
 	"github.com/vanillasail/vanillasail/internal/daemon"
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/internal/standin/server"
+	"github.com/vanillasail/vanillasail/internal/standin/store"
 )
 
 const (
@@ -40,6 +41,7 @@
 // system is everything that runs during a demo.
 type system struct {
 	Options
+	store   store.Server
 	nodes   []*daemon.Node
 	servers []*server.Server
 	ledger  ledger
@@ -66,14 +68,15 @@
 	if err != nil {
 		return err
 	}
-	var seeds []string
+	if err := s.store.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
 	for i := range s.Nodes {
-		n, err := startNode(authority, i, seeds)
+		n, err := s.startNode(authority, i)
 		if err != nil {
 			return err
 		}
 		s.nodes = append(s.nodes, n)
-		seeds = append(seeds, n.PeerAddr())
 		b := &server.Server{Service: service, Slots: serverSlots, Delay: serverDelay, Announce: n.AnnounceAddr(), Entry: n.CallerAddr()}
 		if err := b.Start("127.0.0.1:0"); err != nil {
 			return err
@@ -83,7 +86,7 @@
 	return s.awaitReady(ctx)
 }
 
-func startNode(authority *node.Authority, i int, seeds []string) (*daemon.Node, error) {
+func (s *system) startNode(authority *node.Authority, i int) (*daemon.Node, error) {
 	id := fmt.Sprintf("n%d", i)
 	cert, key, err := authority.Issue(id, time.Hour)
 	if err != nil {
@@ -97,7 +100,8 @@
 	n := &daemon.Node{Options: daemon.Options{
 		ID: id, Region: place.region, Domain: place.domain,
 		Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Announce: "127.0.0.1:0",
-		Seeds: seeds, Credentials: credentials, Notice: 500 * time.Millisecond,
+		Secret: "secret of the demo cluster", Table: s.store.URL(), Object: s.store.URL(),
+		Credentials: credentials, Notice: 500 * time.Millisecond,
 		Log: &log.Logger{Handler: discard.Default},
 	}}
 	return n, n.Start()
@@ -134,4 +138,5 @@
 	for _, n := range s.nodes {
 		n.Kill()
 	}
+	_ = s.store.Stop(context.Background())
 }
--- a/internal/http1/drain.go
+++ b/internal/http1/drain.go
@@ -44,12 +44,14 @@
 
 // Close ends all connections at once.
 func (s *Server) Close() {
-	_ = s.listener.Close()
-	for _, c := range s.snapshot() {
-		c.cancelRequest()
-		_ = c.Close()
-	}
-	s.engine.Stop()
+	s.closing.Do(func() {
+		_ = s.listener.Close()
+		for _, c := range s.snapshot() {
+			c.cancelRequest()
+			_ = c.Close()
+		}
+		s.engine.Stop()
+	})
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -46,6 +46,7 @@
 
 	engine   *nbhttp.Engine
 	listener net.Listener
+	closing  sync.Once
 
 	mu sync.Mutex
 	// conns holds every open connection.
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -52,6 +53,13 @@
 	}
 }
 
+// Services returns the names of all services with a server.
+func (t *Table) Services() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.pools))
+}
+
 // SetDraining says whether a server is leaving; a draining server receives no
 // new requests.
 func (t *Table) SetDraining(service, id string, draining bool) {
