Move callers and ledger to internal/load; add the bench command

Cause: scenarios with separate processes need the same callers and invariant checks as the demo. Ruled out: a second copy in the scenarios. Change: internal/load, vanillasail bench (direct, one hop, ten hops in turn), stand-in store as a process.

--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -22,6 +22,7 @@
 	commander.Register(commander.CommandsCommand(), "")
 	commander.Register(&nodeCommand{}, "run")
 	commander.Register(&demoCommand{}, "run")
+	commander.Register(&benchCommand{}, "test")
 	commander.Register(&checkCommand{}, "prepare")
 	commander.Register(&keysCommand{}, "prepare")
 	commander.Register(&standinCommand{}, "test")
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/standin/relay"
 	"github.com/vanillasail/vanillasail/internal/standin/server"
+	"github.com/vanillasail/vanillasail/internal/standin/store"
 )
 
 // standinCommand runs a stand-in for an outside system, for tests.
@@ -30,7 +31,7 @@
 
 // Usage implements subcommands.Command.
 func (*standinCommand) Usage() string {
-	return "vanillasail standin [flags] server|relay\n\nserver: a backend server that announces itself; POST /fault/NAME?value=N sets slow,\nfail, shed or lie, GET /journal lists what ran, GET /counts counts faults.\nrelay: forwards TCP and UDP from -addr to -target; POST /mode?value=pass|cut|silent\non -admin.\n\nExample: vanillasail standin -addr 127.0.0.1:9001 -announce 127.0.0.1:8081 -service stock server\n"
+	return "vanillasail standin [flags] server|relay|store\n\nserver: a backend server that announces itself; POST /fault/NAME?value=N sets slow,\nfail, shed or lie, GET /journal lists what ran, GET /counts counts faults.\nstore: the table service and object store; PUT /fault/table or /fault/object sets\ndown, silent, slow, lose.\nrelay: forwards TCP and UDP from -addr to -target; POST /mode?value=pass|cut|silent\non -admin.\n\nExample: vanillasail standin -addr 127.0.0.1:9001 -announce 127.0.0.1:8081 -service stock server\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -48,7 +49,7 @@
 
 // Execute implements subcommands.Command.
 func (c *standinCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	run := map[string]func(context.Context) error{"server": c.server, "relay": c.relay}[f.Arg(0)]
+	run := map[string]func(context.Context) error{"server": c.server, "relay": c.relay, "store": c.store}[f.Arg(0)]
 	if run == nil {
 		return subcommands.ExitUsageError
 	}
@@ -93,3 +94,13 @@
 	r.Close()
 	return admin.Close()
 }
+
+func (c *standinCommand) store(ctx context.Context) error {
+	var s store.Server
+	if err := s.Start(c.addr); err != nil {
+		return err
+	}
+	fmt.Printf("store listens on %s\n", s.URL())
+	<-ctx.Done()
+	return s.Stop(context.WithoutCancel(ctx))
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/vanillasail/vanillasail/internal/daemon"
+	"github.com/vanillasail/vanillasail/internal/load"
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/internal/standin/server"
 	"github.com/vanillasail/vanillasail/internal/standin/store"
@@ -33,6 +34,8 @@
 type Options struct {
 	Nodes   int
 	Callers int
+	// Slots is the number of slots of each backend server.
+	Slots int
 	// Time is how long callers send requests.
 	Time time.Duration
 	Out  io.Writer
@@ -44,11 +47,12 @@
 	store   store.Server
 	nodes   []*daemon.Node
 	servers []*server.Server
-	ledger  ledger
+	load    load.Load
 }
 
 // Run runs the demo and reports whether every invariant held.
 func Run(ctx context.Context, o Options) (bool, error) {
+	o.Slots = serverSlots
 	s := &system{Options: o}
 	defer s.kill()
 	if err := s.start(ctx); err != nil {
@@ -59,7 +63,11 @@
 	defer cancel()
 	go s.faults(ctx)
 	go s.progress(ctx)
-	s.call(ctx)
+	s.load.Service, s.load.Callers = service, o.Callers
+	for _, n := range s.nodes {
+		s.load.Use(n.CallerAddr())
+	}
+	s.load.Run(ctx)
 	return s.report(), nil
 }
 
@@ -77,7 +85,7 @@
 			return err
 		}
 		s.nodes = append(s.nodes, n)
-		b := &server.Server{Service: service, Slots: serverSlots, Delay: serverDelay, Announce: n.AnnounceAddr(), Entry: n.CallerAddr()}
+		b := &server.Server{Service: service, Slots: s.Slots, Delay: serverDelay, Announce: n.AnnounceAddr(), Entry: n.CallerAddr()}
 		if err := b.Start("127.0.0.1:0"); err != nil {
 			return err
 		}
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -17,7 +17,7 @@
 	}{
 		{"n0: its backend server becomes 10 times slower", func() { s.servers[0].Set("slow", slowFactor) }},
 		{"n0: its backend server is back to normal", func() { s.servers[0].Set("slow", 0) }},
-		{"n1: its backend server drains", func() { s.drain(1) }},
+		{"n1: its backend server drains", func() { s.servers[1].Drain() }},
 		{"n2: its backend server crashes", func() { s.servers[2].Kill() }},
 		{"n3: the node stops gracefully", func() { s.stopNode(ctx, 3) }},
 	}
@@ -30,18 +30,13 @@
 	}
 }
 
-func (s *system) drain(i int) {
-	s.ledger.drained(s.servers[i], time.Now())
-	s.servers[i].Drain()
-}
-
 // stopNode moves callers away from a node that stops, as a host replacement
 // does, and waits for its end.
 func (s *system) stopNode(ctx context.Context, i int) {
 	if i >= len(s.nodes) {
 		return
 	}
-	s.ledger.avoid(i)
+	s.load.Avoid(s.nodes[i].CallerAddr())
 	go s.nodes[i].Stop(context.WithoutCancel(ctx))
 }
 
