Add the operators' language, its HTTP API, tokens and reports of changes

Ruled out: a change ID without a base version, because a change that is sent again on a newer base would become a second version. The client asks for the base first and sends ID and base to every node that it tries. Ruled out too: returning a report that was not kept as a success; the command fails and names "unsaved". Change: internal/operator (participle grammar, Console over small interfaces, typed tables with where and limit, JWT with HS256 and EdDSA, HTTP Handler, Client with Shell, reports as text, JSON and SVG kept in the object store) and docs/operators.md, whose examples a test parses. config.Keeper gains Resolve, config.Document WithFields. Figures: the tests pass with -race. With a mechanism removed they fail: without the change ID "version 1 was already made by ana", without the look-up before an undo is made again, without the role check, and with the error of the object store ignored. Removing the check of the token's algorithm changed nothing: the JWT library refuses an Ed25519 key for HMAC by its type as well. Conclusion: a node plugs its parts into operator.Console; nothing is wired yet.

--- /dev/null
+++ b/internal/operator/console.go
@@ -0,0 +1,126 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/vanillasail/vanillasail/pkg/config"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// Console runs commands against the parts of one node. Config is required; a
+// command that needs another part that is nil says so.
+type Console struct {
+	Config    Config
+	Members   Members
+	Decisions Decisions
+	Shards    Shards
+	Reports   Reports
+	Objects   Objects
+	// Now returns the wall clock time of records; nil means time.Now.
+	Now func() time.Time
+	// Log gets one line for each change; nil means the default logger.
+	Log log.Interface
+}
+
+// Request is one command line.
+type Request struct {
+	Text string
+	// ID and Base make a change safe to send again; either both are set or
+	// neither. An "on" clause in the text replaces Base.
+	ID   string
+	Base *config.Version
+}
+
+// run is one execution of a command.
+type run struct {
+	*Console
+	Request
+	who Identity
+}
+
+// Run executes one command. Errors are of the kinds of package fault.
+func (c *Console) Run(ctx context.Context, who Identity, r Request) (Result, error) {
+	cmd, err := parse(r.Text)
+	if err != nil {
+		return Result{}, err
+	}
+	if cl := cmd.clauses(); who.Role != RoleOperator && (cl != nil && !cl.Dry || cmd.Report != nil && !cmd.Report.Unsaved) {
+		return Result{}, fault.New(fault.KindForbidden, "%s has the role %q, which changes nothing", who.Name, who.Role).
+			WithRemedy("use a token with the role operator, or add dry run or unsaved")
+	}
+	x := &run{Console: c, Request: r, who: who}
+	switch {
+	case cmd.Show != nil:
+		return x.show(ctx, cmd.Show)
+	case cmd.Explain != nil:
+		return x.explain(ctx, cmd.Explain)
+	case cmd.Diff != nil:
+		return x.diff(ctx, cmd.Diff)
+	case cmd.Report != nil:
+		return x.report(ctx, cmd.Report)
+	case cmd.Reset != nil:
+		return x.reset(ctx, cmd.Reset)
+	case cmd.Undo != nil:
+		return x.undo(ctx, cmd.Undo)
+	case cmd.Create != nil:
+		return x.create(ctx, cmd.Create)
+	case cmd.Set != nil:
+		return x.set(ctx, cmd.Set)
+	case cmd.Remove != nil:
+		return x.remove(ctx, cmd.Remove)
+	default:
+		return x.drain(ctx, cmd.Drain)
+	}
+}
+
+// clauses returns the clauses of a command that changes something.
+func (c *command) clauses() *clauses {
+	switch {
+	case c.Create != nil:
+		return &c.Create.Clause
+	case c.Set != nil:
+		return &c.Set.Clause
+	case c.Remove != nil:
+		return &c.Remove.Clause
+	case c.Drain != nil:
+		return &c.Drain.Clause
+	case c.Undo != nil:
+		return &c.Undo.Clause
+	case c.Reset != nil:
+		return &c.Reset.Clause
+	}
+	return nil
+}
+
+func (c *Console) now() time.Time {
+	if c.Now == nil {
+		return time.Now()
+	}
+	return c.Now()
+}
+
+func (c *Console) log() log.Interface {
+	if c.Log == nil {
+		return log.Log
+	}
+	return c.Log
+}
+
+// order names the operator, the time and the reason of a change.
+func (x *run) order(cl clauses) (Order, error) {
+	if cl.Reason == "" && !cl.Dry {
+		return Order{}, fault.New(fault.KindBadRequest, "the change has no reason").WithRemedy(`end the command with because "REASON"`)
+	}
+	id := x.ID
+	if id == "" {
+		id = NewChangeID()
+	}
+	return Order{ID: id, Author: x.who.Name, Reason: cl.Reason, Time: x.now().UTC()}, nil
+}
+
+// NewChangeID returns a random ID for a change.
+func NewChangeID() string { return rand.Text() }
--- /dev/null
+++ b/internal/operator/filter.go
@@ -0,0 +1,133 @@
+package operator
+
+import (
+	"cmp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// filterRows keeps the rows that meet all conditions, up to the limit.
+func (t *Table) filterRows(command string, where []filter, limit *number) error {
+	for _, f := range where {
+		keep, err := t.condition(command, f)
+		if err != nil {
+			return err
+		}
+		rows := t.Rows[:0]
+		for _, row := range t.Rows {
+			if keep(row) {
+				rows = append(rows, row)
+			}
+		}
+		t.Rows = rows
+	}
+	if limit != nil && len(t.Rows) > int(*limit) {
+		t.Rows = t.Rows[:*limit]
+	}
+	return nil
+}
+
+func (t *Table) condition(command string, f filter) (func(row []any) bool, error) {
+	index := -1
+	names := make([]string, len(t.Columns))
+	for i, c := range t.Columns {
+		names[i] = c.Name
+		if c.Name == f.Column {
+			index = i
+		}
+	}
+	if index < 0 {
+		return nil, at(command, f.Pos, "no column %q", f.Column).WithRemedy("use one of " + strings.Join(names, ", "))
+	}
+	column := t.Columns[index]
+	if f.Op == "~" {
+		return func(row []any) bool { return strings.Contains(cellText(row[index]), f.Value.String()) }, nil
+	}
+	want, err := column.parse(command, f.Pos, f.Value)
+	if err != nil {
+		return nil, err
+	}
+	return func(row []any) bool { return row[index] != nil && holds(f.Op, compare(row[index], want)) }, nil
+}
+
+// parse reads a value of the column's type.
+func (c Column) parse(command string, pos lexer.Position, v value) (any, error) {
+	var (
+		s      = v.String()
+		parsed any
+		err    error
+	)
+	switch c.Type {
+	case TypeInteger:
+		parsed, err = strconv.ParseInt(s, 10, 64)
+	case TypeNumber:
+		parsed, err = strconv.ParseFloat(s, 64)
+	case TypeDuration:
+		parsed, err = time.ParseDuration(s)
+	case TypeTime:
+		parsed, err = time.Parse(time.RFC3339, s)
+	case TypeBoolean:
+		parsed, err = strconv.ParseBool(s)
+	default:
+		parsed = s
+	}
+	if err != nil {
+		return nil, at(command, pos, "%q is not of type %s", s, c.Type).WithRemedy("compare " + c.Name + " with " + examples[c.Type])
+	}
+	return parsed, nil
+}
+
+var examples = map[Type]string{
+	TypeInteger:  "an integer such as 3",
+	TypeNumber:   "a number such as 0.5",
+	TypeDuration: "a duration such as 20ms",
+	TypeTime:     `a time such as "2026-01-31T12:00:00Z"`,
+	TypeBoolean:  "true or false",
+}
+
+// compare orders two cells of the same Go type.
+func compare(a, b any) int {
+	switch a := a.(type) {
+	case int64:
+		return cmp.Compare(a, b.(int64))
+	case float64:
+		return cmp.Compare(a, b.(float64))
+	case time.Duration:
+		return cmp.Compare(a, b.(time.Duration))
+	case time.Time:
+		return a.Compare(b.(time.Time))
+	case bool:
+		if a == b.(bool) {
+			return 0
+		}
+		return 1
+	default:
+		return cmp.Compare(cellText(a), cellText(b))
+	}
+}
+
+func holds(op string, order int) bool {
+	switch op {
+	case "=":
+		return order == 0
+	case "!=":
+		return order != 0
+	case "<":
+		return order < 0
+	case "<=":
+		return order <= 0
+	case ">":
+		return order > 0
+	default:
+		return order >= 0
+	}
+}
+
+func notPlugged(what string) error {
+	return fault.New(fault.KindInternal, "this node has no %s", what).WithRemedy("ask another node")
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,258 @@
+package operator_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/object"
+	"github.com/vanillasail/vanillasail/internal/operator"
+	standin "github.com/vanillasail/vanillasail/internal/standin/store"
+	"github.com/vanillasail/vanillasail/internal/store"
+	"github.com/vanillasail/vanillasail/internal/table"
+	"github.com/vanillasail/vanillasail/pkg/config"
+)
+
+// fixture is one node's console with a stand-in of the store, reached over
+// HTTP.
+type fixture struct {
+	store  *standin.Server
+	key    operator.Key
+	public ed25519.PublicKey
+	now    time.Time
+	nodes  []string
+}
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	public, private, err := ed25519.GenerateKey(nil)
+	assert.NilError(t, err)
+	key, err := operator.ParseKey("k1", "EdDSA", base64.StdEncoding.EncodeToString(private))
+	assert.NilError(t, err)
+	f := &fixture{store: &standin.Server{}, key: key, public: public, now: time.Unix(1_800_000_000, 0)}
+	assert.NilError(t, f.store.Start("127.0.0.1:0"))
+	t.Cleanup(func() { assert.NilError(t, f.store.Stop(context.Background())) })
+	endpoint := store.Endpoint{Base: f.store.URL()}
+	for range 2 {
+		handler := &operator.Handler{
+			Keys: func() operator.Keys { return operator.Keys{key} },
+			Console: &operator.Console{
+				Config:  &config.Keeper{Store: table.ConfigRows{Client: table.Client{Endpoint: endpoint}}},
+				Objects: object.Client{Endpoint: endpoint}, Members: parts{}, Decisions: parts{}, Shards: parts{}, Reports: parts{},
+				Now: func() time.Time { return f.now }, Log: &log.Logger{Handler: discard.New()},
+			},
+		}
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		f.nodes = append(f.nodes, server.URL)
+	}
+	return f
+}
+
+func (f *fixture) client(t *testing.T, role operator.Role) operator.Client {
+	t.Helper()
+	token, err := f.key.Sign(operator.Identity{Name: "ana", Role: role}, f.now, time.Hour)
+	assert.NilError(t, err)
+	return operator.Client{Nodes: f.nodes, Token: token}
+}
+
+// parts stands in for the other parts of a node.
+type parts struct{}
+
+func (parts) Servers(context.Context) []operator.Server {
+	return []operator.Server{
+		{ID: "poa-1", Service: "stock", Region: "poa", State: operator.StateAlive, Slots: 12, Queued: 4, Latency: 3 * time.Millisecond},
+		{ID: "cwb-1", Service: "stock", Region: "cwb", State: operator.StateAlive, Slots: 12, Latency: 30 * time.Millisecond},
+	}
+}
+
+func (parts) Recent(context.Context, int) []operator.Decision { return nil }
+
+func (parts) Explain(_ context.Context, id string) ([]operator.Decision, []string, error) {
+	considered := []operator.Candidate{{Server: "poa-1", InFlight: 7, Score: 1.5, Reason: "best score"}}
+	return []operator.Decision{{Request: id, Action: "place", Chosen: "poa-1", Considered: considered}}, []string{"cwb-9"}, nil
+}
+
+func (parts) Shards(context.Context, string) ([]operator.Shard, error) { return nil, nil }
+
+func (parts) Reset(_ context.Context, _ string, _ int, o operator.Order) error {
+	if o.Author != "ana" || o.Reason == "" || o.ID == "" {
+		return errors.New("the order does not say who and why")
+	}
+	return nil
+}
+
+func (parts) Measure(context.Context, config.Version) (before, after operator.Window, err error) {
+	label := operator.Label{Service: "stock", Class: "lookup", Tenant: "geada"}
+	window := func(scale int64) operator.Window {
+		h := hdrhistogram.New(1, 60_000_000, 3)
+		for i := range int64(1000) {
+			_ = h.RecordValue((i + 1) * scale)
+		}
+		from := time.Unix(1_800_000_000, 0)
+		return operator.Window{
+			From: from, To: from.Add(10 * time.Second),
+			Latency:  []operator.Latency{{Label: label, Histogram: h}},
+			Links:    []operator.LinkBytes{{From: "poa", To: "cwb", Bytes: 5000 * scale}},
+			Refusals: []operator.Refusals{{Label: label, Reason: "overloaded", Count: scale}},
+		}
+	}
+	return window(1), window(2), nil
+}
+
+// Guards against a change that is lost, not recorded, or applied by a dry run.
+func TestLanguageOverHTTP(t *testing.T) {
+	c := start(t).client(t, operator.RoleOperator)
+	steps := []struct{ command, want string }{
+		{`create service stock with queue = 32, retry.limit = 1 because "new"`, "1        ana     2027-01-15T08:00:00Z  new"},
+		{`create service stock because "again"`, `column 8: service "stock" exists already`},
+		{`set services.stock.queue = 64 because "bigger" dry run`, "services.stock.queue  32      64\n\ndry run: nothing was changed"},
+		{`set services.stock.queue = 64`, `the change has no reason; end the command with because "REASON"`},
+		{`set services.stock.queue = 64, services.stock.quue = 3 because "x"`, `column 32: services.stock.quue: unknown field "quue"`},
+		{`set services.stock.queue = -1 because "x"`, "column 5: configuration: services.stock.queue: -1 is not allowed; use at least 0"},
+		{`set services.stock.timeout.longest = 2s, services.stock.timeout.default = 1s because "short"`, "accepted\n"},
+		{`set services.stock.timeout.longest = 2s because "again"`, "version 2 says this already; nothing was changed"},
+		{`drain poa-9 of stock because "x"`, `column 7: no server "poa-9" of service "stock"`},
+		{`drain poa-1 of stock because "repair"`, "{poa-1: {drained: true}}"},
+		{`drain cwb-1 of stock because "repair"`, "warning: this node knows no other server of stock"},
+		{`show servers of stock where drained = true and latency < 10ms`, "poa-1  stock"},
+		{`show servers where colour = red`, "column 20: no column \"colour\""},
+		{`show servers where queued > many`, "; compare queued with an integer such as 3"},
+		{`undo 3 because "repaired"`, "conflict: services.stock.servers was changed again"},
+		{`undo 4 because "repaired"`, "services.stock.servers.cwb-1"},
+		{`set services.stock.queue = 1 on 2 because "late"`, `conflict: version 3 was already made by ana: "repair"`},
+		{`show versions limit 1`, "5        ana"},
+		{`diff 1 2`, "services.stock.timeout  -       {default: 1s, longest: 2s}"},
+		{`show config services.stock.timeout`, "services.stock.timeout.longest  2s"},
+		{`show document 1`, "queue: 32"},
+		{`explain 4f2a`, "node cwb-9 did not answer"},
+		{`reset shard 3 of stock because "both gone"`, "shard 3 of stock has a new owner and backup"},
+	}
+	for _, s := range steps {
+		got, err := c.Run(t.Context(), s.command)
+		if err != nil {
+			got = err.Error()
+		}
+		assert.Assert(t, strings.Contains(got, s.want), "%s\n%s", s.command, got)
+	}
+	var out strings.Builder
+	assert.NilError(t, c.Shell(t.Context(), strings.NewReader("show tenants\nshow severs\nexit\nshow config"), &out))
+	assert.Assert(t, strings.Contains(out.String(), "(none)\n> error: bad-request: column 6"), out.String())
+}
+
+// dropReply loses the reply of the first POST after it was handled.
+type dropReply struct{ dropped bool }
+
+func (d *dropReply) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && r.Method == http.MethodPost && !d.dropped {
+		d.dropped = true
+		_ = resp.Body.Close()
+		return nil, errors.New("connection reset")
+	}
+	return resp, err
+}
+
+// Guards against a change that is applied twice because an answer of a node or
+// a reply of the store was lost, and against two winners.
+func TestChangeIsAcceptedOnce(t *testing.T) {
+	f := start(t)
+	c := f.client(t, operator.RoleOperator)
+	f.store.Table.SetFault(standin.Fault{Lose: 1})
+	drop := &dropReply{}
+	c.HTTP = &http.Client{Transport: drop}
+	got, err := c.Run(t.Context(), `create tenant geada because "contract"`)
+	assert.NilError(t, err)
+	assert.Assert(t, drop.dropped && f.store.Table.Counts().Faults["lost"] == 1)
+	assert.Assert(t, strings.Contains(got, "contract"), got)
+
+	// The node that lost the answer has already applied the undo when it gets
+	// the same one again.
+	drop.dropped, c.Nodes = false, []string{f.nodes[0], f.nodes[0]}
+	got, err = c.Run(t.Context(), `undo 1 because "mistake"`)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(got, "2        ana"), got)
+	for _, node := range f.nodes {
+		c.Nodes = []string{node}
+		versions, err := c.Run(t.Context(), "show versions where reason = contract")
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Count(versions, "contract"), 1, versions)
+	}
+	_, err = c.Run(t.Context(), `create tenant union on 0 because "late"`)
+	assert.Equal(t, operator.ExitCode(err), 3, "%v", err)
+
+	f.store.Table.SetFault(standin.Fault{Down: true})
+	_, err = c.Run(t.Context(), `create tenant union because "during an outage"`)
+	assert.Equal(t, operator.ExitCode(err), 4)
+	assert.ErrorContains(t, err, "nothing was changed")
+	_, err = c.Run(t.Context(), "show tenants")
+	assert.NilError(t, err)
+}
+
+// Guards against changes without the operator role, and tokens that are
+// expired, unsigned, or signed with a public key taken for a secret.
+func TestTokensAndRoles(t *testing.T) {
+	f := start(t)
+	viewer := f.client(t, operator.RoleViewer)
+	_, err := viewer.Run(t.Context(), `create tenant geada because "x"`)
+	assert.ErrorContains(t, err, "forbidden")
+	_, err = viewer.Run(t.Context(), `create tenant geada because "x" dry run`)
+	assert.NilError(t, err)
+
+	who := operator.Identity{Name: "ana", Role: operator.RoleOperator}
+	old, err := f.key.Sign(who, f.now.Add(-2*time.Hour), time.Hour)
+	assert.NilError(t, err)
+	secret, err := operator.ParseKey("k1", "HS256", base64.StdEncoding.EncodeToString(f.public))
+	assert.NilError(t, err)
+	forged, err := secret.Sign(who, f.now, time.Hour)
+	assert.NilError(t, err)
+	unsigned := "eyJhbGciOiJub25lIiwia2lkIjoiazEifQ." + strings.Split(forged, ".")[1] + "."
+	for name, token := range map[string]string{"expired": old, "other algorithm": forged, "unsigned": unsigned, "none": ""} {
+		_, err := operator.Client{Nodes: f.nodes, Token: token}.Run(t.Context(), "show tenants")
+		assert.ErrorContains(t, err, "forbidden: ", name)
+	}
+	_, err = operator.ParseKey("k2", "HS256", base64.StdEncoding.EncodeToString(make([]byte, 31)))
+	assert.ErrorContains(t, err, "at least 32 bytes")
+}
+
+// Guards against a report without its figures, and one that silently was not
+// kept.
+func TestReports(t *testing.T) {
+	f := start(t)
+	c := f.client(t, operator.RoleOperator)
+	run := func(command string) string {
+		got, err := c.Run(t.Context(), command)
+		assert.NilError(t, err, command)
+		return got
+	}
+	run(`create service stock because "new"`)
+	text := run("report 1")
+	for _, want := range []string{"P99 AFTER/BEFORE", "990µs       1.98ms", "poa   cwb  500     1000", "overloaded  0.1     0.2", "kept as report/1/report.*"} {
+		assert.Assert(t, strings.Contains(text, want), "%s\n%s", want, text)
+	}
+	assert.Equal(t, strings.Count(run("show reports"), "report/1/report."), 3)
+	svg := run("show report 1 as svg")
+	assert.Assert(t, strings.Contains(svg, "<svg") && strings.Contains(svg, "Measuring by link"))
+	var result operator.Result
+	assert.NilError(t, json.Unmarshal([]byte(run("show report 1 as json")), &result))
+	assert.Equal(t, len(result.Tables), 6)
+
+	f.store.Object.SetFault(standin.Fault{Down: true})
+	_, err := c.Run(t.Context(), "report 1")
+	assert.Equal(t, operator.ExitCode(err), 4)
+	assert.ErrorContains(t, err, "the object store is not available, so the report of version 1 was not kept")
+	assert.Assert(t, f.store.Object.Counts().Faults["down"] > 0)
+	assert.Assert(t, strings.Contains(run("report 1 unsaved"), "P99 AFTER/BEFORE"))
+}
--- /dev/null
+++ b/internal/operator/parse.go
@@ -0,0 +1,73 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// verb documents one command; the examples are also those of docs/operators.md.
+type verb struct{ name, syntax, example string }
+
+var verbs = []verb{
+	{"show", `show TARGET [ARGUMENT] [of SERVICE] [as text|json|svg] [where COLUMN OP VALUE [and ...]] [limit N]`, `show servers of stock where region = poa and queued > 3 limit 20`},
+	{"explain", `explain REQUEST-ID`, `explain 4f2a90c1`},
+	{"create", `create service|tenant|class NAME [with FIELD = VALUE, ...] because "REASON"`, `create service stock with queue = 64, retry.limit = 1 because "new stock lookups"`},
+	{"set", `set PATH = VALUE, ... because "REASON"`, `set services.stock.rules."POST /stock/lookup" = idempotent because "lookups may be retried"`},
+	{"remove", `remove PATH because "REASON"`, `remove tenants.geada because "contract ended"`},
+	{"drain", `drain SERVER of SERVICE [off] because "REASON"`, `drain poa-a-7 of stock because "cold room 7 is being serviced"`},
+	{"diff", `diff [FROM [TO]]`, `diff 11 12`},
+	{"undo", `undo VERSION because "REASON"`, `undo 12 because "p99 of dispatch doubled" dry run`},
+	{"report", `report VERSION [as text|json|svg] [unsaved]`, `report 12 as svg`},
+	{"reset", `reset shard N of SERVICE because "REASON"`, `reset shard 3 of dispatch because "owner and backup were both replaced"`},
+}
+
+func parse(text string) (*command, error) {
+	cmd, err := grammar.ParseString("", text)
+	if err == nil {
+		return cmd, nil
+	}
+	var located participle.Error
+	if !errors.As(err, &located) {
+		return nil, fault.New(fault.KindBadRequest, "%v", err)
+	}
+	return nil, at(text, located.Position(), located.Message()).WithRemedy(usage(text))
+}
+
+// at points at a column of the command.
+func at(text string, pos lexer.Position, format string, args ...any) *fault.Error {
+	column := max(pos.Column, 1)
+	if len(args) > 0 {
+		format = fmt.Sprintf(format, args...)
+	}
+	return fault.New(fault.KindBadRequest, "column %d: %s\n  %s\n  %s^\n", column, format, text, strings.Repeat(" ", column-1))
+}
+
+// locate adds the column to an error about one field.
+func locate(text string, pos lexer.Position, err error) error {
+	if !fault.Is(err, fault.KindBadRequest) && !fault.Is(err, fault.KindNotFound) {
+		return err
+	}
+	e := fault.As(err)
+	located := at(text, pos, "%s", e.Detail).WithRemedy(e.Remedy)
+	located.Kind, located.Status = e.Kind, e.Status
+	return located
+}
+
+// usage names the remedy for a command that does not parse.
+func usage(text string) string {
+	first, _, _ := strings.Cut(strings.TrimSpace(text), " ")
+	names := make([]string, len(verbs))
+	for i, v := range verbs {
+		names[i] = v.name
+		if v.name == first {
+			return "write " + v.syntax + ", for example: " + v.example
+		}
+	}
+	return "begin with one of " + strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/operator/parts.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/object"
+	"github.com/vanillasail/vanillasail/pkg/config"
+)
+
+// Config holds and changes the configuration; *config.Keeper implements it.
+type Config interface {
+	Current() *config.Snapshot
+	Load(ctx context.Context, v config.Version) (*config.Snapshot, error)
+	History(ctx context.Context, n int) ([]config.Record, error)
+	Reverted(ctx context.Context, v config.Version) (config.Document, error)
+	Resolve(ctx context.Context, id string, base config.Version) (config.Record, bool, error)
+	Submit(ctx context.Context, c config.Change) (config.Record, error)
+}
+
+var _ Config = (*config.Keeper)(nil)
+
+// Server is a backend server as this node sees it.
+type Server struct {
+	ID, Service, Region, Domain, Addr, State string
+	Slots, InFlight, Queued                  int
+	Latency                                  time.Duration
+	// Age is the age of the newest report.
+	Age time.Duration
+	// Config is the version in force at the node beside the server.
+	Config config.Version
+}
+
+// Members lists the servers that this node knows.
+type Members interface {
+	Servers(ctx context.Context) []Server
+}
+
+// Candidate is one server that a decision considered, with the numbers known
+// at that moment.
+type Candidate struct {
+	Server                  string
+	InFlight, Queued, Slots int
+	Latency, Age            time.Duration
+	Score                   float64
+	Reason                  string
+}
+
+// Decision is one step of a request: a placement, retry, hedge or refusal.
+type Decision struct {
+	Request, Node, Service, Class, Tenant string
+	Time                                  time.Time
+	Action, Chosen, Reason, Outcome       string
+	Latency                               time.Duration
+	Considered                            []Candidate
+}
+
+// Decisions reads the ring buffers of decisions.
+type Decisions interface {
+	// Recent returns the newest decisions of this node, newest first.
+	Recent(ctx context.Context, n int) []Decision
+	// Explain asks all nodes for the decisions about one request, and names the
+	// nodes that did not answer.
+	Explain(ctx context.Context, request string) (decisions []Decision, silent []string, err error)
+}
+
+// Shard is one shard of at-most-once records.
+type Shard struct {
+	Service              string
+	Index                int
+	Epoch                uint64
+	Owner, Backup, State string
+	Records              int
+}
+
+// Order says who commands something, when and why. The part that obeys keeps it
+// with the effect.
+type Order struct {
+	ID, Author, Reason string
+	Time               time.Time
+}
+
+// Shards lists and resets shards of at-most-once records.
+type Shards interface {
+	// Shards returns the shards of a service, or of all for an empty name.
+	Shards(ctx context.Context, service string) ([]Shard, error)
+	// Reset gives the shard a new owner and backup although both old ones may
+	// still run. Every key is then answered with an unknown outcome for one
+	// window. An order with the ID of one that was obeyed before has no further
+	// effect.
+	Reset(ctx context.Context, service string, index int, o Order) error
+}
+
+// Reports measures the effect of accepted changes.
+type Reports interface {
+	// Measure returns the windows before and after a version came into force.
+	Measure(ctx context.Context, v config.Version) (before, after Window, err error)
+}
+
+// Objects keeps reports; object.Client implements it.
+type Objects interface {
+	Put(ctx context.Context, key, contentType string, body []byte) (tag string, err error)
+	Get(ctx context.Context, key string) (object.Object, error)
+	List(ctx context.Context, prefix string) ([]object.Info, error)
+}
+
+var _ Objects = object.Client{}
--- /dev/null
+++ b/internal/operator/show.go
@@ -0,0 +1,177 @@
+package operator
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/vanillasail/vanillasail/pkg/config"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// StateAlive is the state of a server that takes requests unless it is drained.
+const StateAlive = "alive"
+
+// defaultVersions and defaultDecisions bound lists without a limit; each
+// version costs one read of the table.
+const (
+	defaultVersions  = 20
+	defaultDecisions = 50
+)
+
+func itoa[T ~int | ~uint64](n T) string { return strconv.FormatUint(uint64(n), 10) }
+
+func (x *run) show(ctx context.Context, s *show) (Result, error) {
+	switch s.Target {
+	case "document":
+		return x.showDocument(ctx, s)
+	case "report":
+		return x.showReport(ctx, s)
+	}
+	if s.Arg != nil && s.Target != "config" {
+		return Result{}, at(x.Text, s.Arg.Pos, "show %s takes no argument", s.Target).WithRemedy("narrow it with where or limit")
+	}
+	table, err := x.table(ctx, s)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := table.filterRows(x.Text, s.Where, s.Limit); err != nil {
+		return Result{}, err
+	}
+	return Result{Tables: []*Table{table}}, nil
+}
+
+func (x *run) table(ctx context.Context, s *show) (*Table, error) {
+	snapshot := x.Config.Current()
+	switch s.Target {
+	case "config":
+		return x.configTable(snapshot, s)
+	case "versions":
+		return x.versionsTable(ctx, s)
+	case "services":
+		return servicesTable(snapshot.Document), nil
+	case "tenants":
+		return tenantsTable(snapshot.Document), nil
+	case "classes":
+		return classesTable(snapshot.Document), nil
+	case "budgets":
+		return budgetsTable(snapshot.Document), nil
+	case "servers":
+		return x.serversTable(ctx, snapshot.Document, s.Of)
+	case "decisions":
+		return x.decisionsTable(ctx, s.Of)
+	case "shards":
+		return x.shardsTable(ctx, s.Of)
+	default:
+		return x.reportsTable(ctx)
+	}
+}
+
+func (x *run) showDocument(ctx context.Context, s *show) (Result, error) {
+	v := x.Config.Current().Version
+	if s.Arg != nil {
+		n, err := strconv.ParseUint(s.Arg.Parts[0], 10, 32)
+		if err != nil || len(s.Arg.Parts) > 1 {
+			return Result{}, at(x.Text, s.Arg.Pos, "not a version").WithRemedy("name a version number, or none for the newest")
+		}
+		v = config.Version(n)
+	}
+	snapshot, err := x.Config.Load(ctx, v)
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{Raw: []byte(snapshot.Body), RawType: typeYAML}, nil
+}
+
+func (x *run) serversTable(ctx context.Context, d config.Document, service string) (*Table, error) {
+	if x.Members == nil {
+		return nil, notPlugged("members")
+	}
+	t := newTable("servers", text("id"), text("service"), text("region"), text("domain"), text("addr"), text("state"),
+		boolean("drained"), integer("slots"), integer("inflight"), integer("queued"), duration("latency"), duration("age"), integer("config"))
+	for _, s := range x.Members.Servers(ctx) {
+		if service != "" && s.Service != service {
+			continue
+		}
+		override := d.Services[s.Service].Servers[s.ID]
+		if override.Slots > 0 {
+			s.Slots = override.Slots
+		}
+		t.add(s.ID, s.Service, s.Region, s.Domain, s.Addr, s.State, override.Drained,
+			s.Slots, s.InFlight, s.Queued, s.Latency, s.Age, uint64(s.Config))
+	}
+	return t, nil
+}
+
+func (x *run) decisionsTable(ctx context.Context, service string) (*Table, error) {
+	if x.Decisions == nil {
+		return nil, notPlugged("decisions")
+	}
+	t := decisionTable("decisions of this node")
+	for _, d := range x.Decisions.Recent(ctx, defaultDecisions) {
+		if service == "" || d.Service == service {
+			addDecision(t, d)
+		}
+	}
+	return t, nil
+}
+
+func decisionTable(title string) *Table {
+	return newTable(title, instant("time"), text("request"), text("node"), text("service"), text("class"), text("tenant"),
+		text("action"), text("chosen"), text("reason"), text("outcome"), duration("latency"))
+}
+
+func addDecision(t *Table, d Decision) {
+	t.add(d.Time, d.Request, d.Node, d.Service, d.Class, d.Tenant, d.Action, d.Chosen, d.Reason, d.Outcome, d.Latency)
+}
+
+func (x *run) explain(ctx context.Context, e *explain) (Result, error) {
+	if x.Decisions == nil {
+		return Result{}, notPlugged("decisions")
+	}
+	decisions, silent, err := x.Decisions.Explain(ctx, e.Request)
+	if err != nil {
+		return Result{}, err
+	}
+	if len(decisions) == 0 && len(silent) == 0 {
+		return Result{}, fault.New(fault.KindNotFound, "no node remembers request %q", e.Request).
+			WithRemedy("check the ID; nodes keep their last 4,096 decisions")
+	}
+	steps := decisionTable("decisions about " + e.Request)
+	servers := newTable("servers considered", integer("step"), text("server"), integer("inflight"), integer("queued"),
+		integer("slots"), duration("latency"), duration("age"), ratio("score"), text("reason"))
+	for i, d := range decisions {
+		addDecision(steps, d)
+		for _, c := range d.Considered {
+			servers.add(i+1, c.Server, c.InFlight, c.Queued, c.Slots, c.Latency, c.Age, c.Score, c.Reason)
+		}
+	}
+	result := Result{Tables: []*Table{steps, servers}}
+	for _, node := range silent {
+		result.note("node %s did not answer; its decisions are missing", node)
+	}
+	return result, nil
+}
+
+func (x *run) shardsTable(ctx context.Context, service string) (*Table, error) {
+	if x.Shards == nil {
+		return nil, notPlugged("shards")
+	}
+	shards, err := x.Shards.Shards(ctx, service)
+	t := newTable("shards", text("service"), integer("shard"), integer("epoch"), text("owner"), text("backup"), text("state"), integer("records"))
+	for _, s := range shards {
+		t.add(s.Service, s.Index, s.Epoch, s.Owner, s.Backup, s.State, s.Records)
+	}
+	return t, err
+}
+
+func (x *run) reportsTable(ctx context.Context) (*Table, error) {
+	if x.Objects == nil {
+		return nil, notPlugged("object store")
+	}
+	infos, err := x.Objects.List(ctx, reportPrefix)
+	t := newTable("reports", text("key"), integer("bytes"), text("etag"))
+	for _, i := range infos {
+		t.add(i.Key, i.Size, i.Tag)
+	}
+	return t, err
+}
--- /dev/null
+++ b/internal/operator/token.go
@@ -0,0 +1,131 @@
+package operator
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"time"
+
+	"github.com/golang-jwt/jwt/v5"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// Role bounds what an operator may do.
+type Role string
+
+// Roles of operators. A viewer asks and makes dry runs.
+const (
+	RoleViewer   Role = "viewer"
+	RoleOperator Role = "operator"
+)
+
+// Identity is an operator as named by a verified token.
+type Identity struct {
+	Name string
+	Role Role
+}
+
+const (
+	// clockLeeway tolerates wall clocks that differ or jump.
+	clockLeeway = time.Minute
+	// minSecret is the size of an HMAC-SHA-256 digest (RFC 7518, 3.2).
+	minSecret = 32
+
+	algorithmHMAC  = "HS256"
+	algorithmEdDSA = "EdDSA"
+)
+
+// Key signs or verifies tokens. Its ID is the token's "kid". Removing a key
+// from the settings revokes all tokens that it signed.
+type Key struct {
+	ID        string
+	algorithm string
+	verify    any
+	// sign is nil for a public key, which only verifies.
+	sign any
+}
+
+// ParseKey reads a key from the settings: base64 of an HS256 secret of at least
+// 32 bytes, or of an EdDSA public key (32 bytes) or private key (64 bytes).
+func ParseKey(id, algorithm, encoded string) (Key, error) {
+	raw, err := base64.StdEncoding.DecodeString(encoded)
+	if err != nil || id == "" {
+		return Key{}, fault.New(fault.KindBadRequest, "token key %q: no ID or no base64 text", id).WithRemedy("make a key with keys")
+	}
+	key := Key{ID: id, algorithm: algorithm}
+	switch {
+	case algorithm == algorithmHMAC && len(raw) >= minSecret:
+		key.sign, key.verify = raw, raw
+	case algorithm == algorithmEdDSA && len(raw) == ed25519.PublicKeySize:
+		key.verify = ed25519.PublicKey(raw)
+	case algorithm == algorithmEdDSA && len(raw) == ed25519.PrivateKeySize:
+		private := ed25519.PrivateKey(raw)
+		key.sign, key.verify = private, private.Public()
+	default:
+		return Key{}, fault.New(fault.KindBadRequest, "token key %q: %d bytes do not fit algorithm %q", id, len(raw), algorithm).
+			WithRemedy("use HS256 with at least 32 bytes, or EdDSA with 32 (public) or 64 (private)")
+	}
+	return key, nil
+}
+
+type claims struct {
+	Role Role `json:"role"`
+	jwt.RegisteredClaims
+}
+
+// Sign returns a token that names the operator until it expires.
+func (k Key) Sign(who Identity, now time.Time, validity time.Duration) (string, error) {
+	if k.sign == nil {
+		return "", fault.New(fault.KindBadRequest, "token key %q is public", k.ID).WithRemedy("sign with the private key")
+	}
+	if who.Name == "" || !who.Role.known() {
+		return "", fault.New(fault.KindBadRequest, "token for %q with role %q", who.Name, who.Role).
+			WithRemedy("name the operator and the role viewer or operator")
+	}
+	token := jwt.NewWithClaims(jwt.GetSigningMethod(k.algorithm), claims{
+		Role: who.Role,
+		RegisteredClaims: jwt.RegisteredClaims{
+			Subject:   who.Name,
+			IssuedAt:  jwt.NewNumericDate(now),
+			ExpiresAt: jwt.NewNumericDate(now.Add(validity)),
+		},
+	})
+	token.Header["kid"] = k.ID
+	signed, err := token.SignedString(k.sign)
+	if err != nil {
+		return "", fault.New(fault.KindInternal, "sign token: %v", err)
+	}
+	return signed, nil
+}
+
+// Keys are the keys that a node trusts.
+type Keys []Key
+
+// Verify returns the operator that the token names.
+func (ks Keys) Verify(token string, now time.Time) (Identity, error) {
+	var c claims
+	_, err := jwt.ParseWithClaims(token, &c, ks.find,
+		jwt.WithValidMethods([]string{algorithmHMAC, algorithmEdDSA}),
+		jwt.WithExpirationRequired(), jwt.WithLeeway(clockLeeway),
+		jwt.WithTimeFunc(func() time.Time { return now }))
+	if err == nil && (c.Subject == "" || !c.Role.known()) {
+		err = fault.New(fault.KindForbidden, "no subject, or role %q", c.Role)
+	}
+	if err != nil {
+		return Identity{}, fault.New(fault.KindForbidden, "token: %v", err).WithRemedy("get a new token with keys")
+	}
+	return Identity{Name: c.Subject, Role: c.Role}, nil
+}
+
+// find returns the key named by the token if its algorithm is the key's own, so
+// that a public key is never taken for a secret.
+func (ks Keys) find(t *jwt.Token) (any, error) {
+	for _, k := range ks {
+		if k.ID == t.Header["kid"] && k.algorithm == t.Method.Alg() {
+			return k.verify, nil
+		}
+	}
+	return nil, fault.New(fault.KindForbidden, "unknown key %q for %s", t.Header["kid"], t.Method.Alg())
+}
+
+func (r Role) known() bool { return r == RoleViewer || r == RoleOperator }
--- a/pkg/config/keeper.go
+++ b/pkg/config/keeper.go
@@ -87,15 +87,26 @@
 	if err := k.checkBase(ctx, c.Base); err != nil {
 		return Record{}, err
 	}
-	r := Record{Version: c.Base + 1, Change: c}
-	if c.Base < k.Version() {
-		winner, err := k.Load(ctx, r.Version)
-		if err != nil {
-			return Record{}, unread(r, err)
-		}
-		return k.settle(r, winner.Record)
+	if r, done, err := k.Resolve(ctx, c.ID, c.Base); done || err != nil {
+		return r, err
+	}
+	return k.create(ctx, Record{Version: c.Base + 1, Change: c})
+}
+
+// Resolve looks up a change that may have been submitted before. It returns its
+// record if it was accepted, a conflict if another change has followed its
+// base, and false if the base is the newest version known here.
+func (k *Keeper) Resolve(ctx context.Context, id string, base Version) (Record, bool, error) {
+	if base >= k.Version() {
+		return Record{}, false, nil
+	}
+	r := Record{Version: base + 1, Change: Change{ID: id}}
+	winner, err := k.Load(ctx, r.Version)
+	if err != nil {
+		return Record{}, false, unread(r, err)
 	}
-	return k.create(ctx, r)
+	accepted, err := k.settle(r, winner.Record)
+	return accepted, err == nil, err
 }
 
 // checkBase refuses a base that was never accepted: a gap would hide all later
--- a/pkg/config/path.go
+++ b/pkg/config/path.go
@@ -43,12 +43,28 @@
 	return value, true
 }
 
+// Setting is a new value for one field.
+type Setting struct {
+	Path  Path
+	Value any
+}
+
 // WithField returns a validated copy with the field set.
 func (d Document) WithField(p Path, value any) (Document, error) {
-	if len(p) == 0 {
-		return Document{}, fault.New(fault.KindBadRequest, "empty field path").WithRemedy("name a field such as services.stock.queue")
+	return d.WithFields(Setting{Path: p, Value: value})
+}
+
+// WithFields returns a copy with all fields set, validated as a whole.
+func (d Document) WithFields(settings ...Setting) (Document, error) {
+	tree := d.tree()
+	var changed Path
+	for _, s := range settings {
+		if len(s.Path) == 0 {
+			return Document{}, fault.New(fault.KindBadRequest, "empty field path").WithRemedy("name a field such as services.stock.queue")
+		}
+		tree, changed = setPath(tree, s.Path, s.Value), s.Path
 	}
-	return fromTree(setPath(d.tree(), p, value), p)
+	return fromTree(tree, changed)
 }
 
 // WithoutField returns a validated copy with the field removed.
