Undo on the named base, not on the version in force at the node

Cause: Reverted took the version in force at the node as its base. A node that is one version behind would have built the document without the newest change and submitted it on top of that change, which takes it back unnoticed. Ruled out: refusing commands whose base is above the node's version; the store has the base, so the node can read it. Change: Reverted(ctx, base, v); operator.SecretKey for a secret that is not base64. Conclusion: every change is built from exactly the version it names as base.

--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -10,7 +10,7 @@
 )
 
 // build makes the new document from the one that the change is based on.
-type build func(base config.Document) (config.Document, error)
+type build func(base *config.Snapshot) (config.Document, error)
 
 // change submits the edited document as a new version, or shows it in a dry
 // run.
@@ -30,7 +30,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	after, err := edit(before.Document)
+	after, err := edit(before)
 	if err != nil {
 		return Result{}, err
 	}
@@ -101,7 +101,8 @@
 func (x *run) create(ctx context.Context, c *create) (Result, error) {
 	section := map[string]string{"service": "services", "tenant": "tenants", "class": "classes"}[c.Target]
 	target := config.Path{section, c.Name}
-	return x.change(ctx, c.Clause, func(d config.Document) (config.Document, error) {
+	return x.change(ctx, c.Clause, func(base *config.Snapshot) (config.Document, error) {
+		d := base.Document
 		if _, exists := d.Field(target); exists {
 			err := fault.New(fault.KindBadRequest, "%s %q exists already", c.Target, c.Name).WithRemedy("change it with set")
 			return d, locate(x.Text, c.Pos, err)
@@ -115,8 +116,8 @@
 }
 
 func (x *run) set(ctx context.Context, s *set) (Result, error) {
-	return x.change(ctx, s.Clause, func(d config.Document) (config.Document, error) {
-		return x.assign(d, nil, s.Fields)
+	return x.change(ctx, s.Clause, func(base *config.Snapshot) (config.Document, error) {
+		return x.assign(base.Document, nil, s.Fields)
 	})
 }
 
@@ -140,15 +141,15 @@
 }
 
 func (x *run) remove(ctx context.Context, r *remove) (Result, error) {
-	return x.change(ctx, r.Clause, func(d config.Document) (config.Document, error) {
-		next, err := d.WithoutField(r.Path.Parts)
+	return x.change(ctx, r.Clause, func(base *config.Snapshot) (config.Document, error) {
+		next, err := base.Document.WithoutField(r.Path.Parts)
 		return next, locate(x.Text, r.Path.Pos, err)
 	})
 }
 
 func (x *run) undo(ctx context.Context, u *undo) (Result, error) {
-	return x.change(ctx, u.Clause, func(config.Document) (config.Document, error) {
-		return x.Config.Reverted(ctx, config.Version(u.Version))
+	return x.change(ctx, u.Clause, func(base *config.Snapshot) (config.Document, error) {
+		return x.Config.Reverted(ctx, base.Version, config.Version(u.Version))
 	})
 }
 
@@ -158,7 +159,8 @@
 		return Result{}, err
 	}
 	target := config.Path{"services", dr.Service, "servers", dr.Server, "drained"}
-	result, err := x.change(ctx, dr.Clause, func(d config.Document) (config.Document, error) {
+	result, err := x.change(ctx, dr.Clause, func(base *config.Snapshot) (config.Document, error) {
+		d := base.Document
 		if _, exists := d.Services[dr.Service]; !exists {
 			err := fault.New(fault.KindNotFound, "no service %q", dr.Service).WithRemedy("list the services with show services")
 			return d, locate(x.Text, dr.Pos, err)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -185,6 +185,11 @@
 	got, err = c.Run(t.Context(), `undo 1 because "mistake"`)
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(got, "2        ana"), got)
+	// The other node is behind by one version and must not undo on its own.
+	c.Nodes = []string{f.nodes[1]}
+	got, err = c.Run(t.Context(), `undo 2 on 2 because "not a mistake"`)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(got, "tenants.geada  -       {}"), got)
 	for _, node := range f.nodes {
 		c.Nodes = []string{node}
 		versions, err := c.Run(t.Context(), "show versions where reason = contract")
--- a/internal/operator/parts.go
+++ b/internal/operator/parts.go
@@ -13,7 +13,7 @@
 	Current() *config.Snapshot
 	Load(ctx context.Context, v config.Version) (*config.Snapshot, error)
 	History(ctx context.Context, n int) ([]config.Record, error)
-	Reverted(ctx context.Context, v config.Version) (config.Document, error)
+	Reverted(ctx context.Context, base, v config.Version) (config.Document, error)
 	Resolve(ctx context.Context, id string, base config.Version) (config.Record, bool, error)
 	Submit(ctx context.Context, c config.Change) (config.Record, error)
 }
--- a/internal/operator/token.go
+++ b/internal/operator/token.go
@@ -55,8 +55,8 @@
 	}
 	key := Key{ID: id, algorithm: algorithm}
 	switch {
-	case algorithm == algorithmHMAC && len(raw) >= minSecret:
-		key.sign, key.verify = raw, raw
+	case algorithm == algorithmHMAC:
+		return SecretKey(id, raw)
 	case algorithm == algorithmEdDSA && len(raw) == ed25519.PublicKeySize:
 		key.verify = ed25519.PublicKey(raw)
 	case algorithm == algorithmEdDSA && len(raw) == ed25519.PrivateKeySize:
@@ -64,11 +64,20 @@
 		key.sign, key.verify = private, private.Public()
 	default:
 		return Key{}, fault.New(fault.KindBadRequest, "token key %q: %d bytes do not fit algorithm %q", id, len(raw), algorithm).
-			WithRemedy("use HS256 with at least 32 bytes, or EdDSA with 32 (public) or 64 (private)")
+			WithRemedy("use HS256, or EdDSA with 32 bytes (public) or 64 (private)")
 	}
 	return key, nil
 }
 
+// SecretKey returns the HS256 key with the secret, of at least 32 bytes.
+func SecretKey(id string, secret []byte) (Key, error) {
+	if len(secret) < minSecret {
+		return Key{}, fault.New(fault.KindBadRequest, "token key %q has %d bytes", id, len(secret)).
+			WithRemedy("use at least 32 bytes")
+	}
+	return Key{ID: id, algorithm: algorithmHMAC, sign: secret, verify: secret}, nil
+}
+
 // GenerateKey returns a new key for the settings in the form that ParseKey
 // reads: one text to sign with and one to verify with, equal for HS256.
 func GenerateKey(algorithm string) (sign, verify string, err error) {
--- a/pkg/config/undo.go
+++ b/pkg/config/undo.go
@@ -38,22 +38,22 @@
 	return records, nil
 }
 
-// Reverted returns the document in force with the changes of version v taken
-// back and all others kept. To undo, submit it as a new version. A field that a
-// later version changed again is a conflict.
-func (k *Keeper) Reverted(ctx context.Context, v Version) (Document, error) {
-	if v == 0 || v > k.Version() {
-		return Document{}, fault.New(fault.KindBadRequest, "version %d cannot be undone; the newest is %d", v, k.Version()).
+// Reverted returns the document of version base with the changes of version v
+// taken back and all others kept. To undo, submit it on that base. A field that
+// a version between them changed again is a conflict. The base is named because
+// this node may be behind it.
+func (k *Keeper) Reverted(ctx context.Context, base, v Version) (Document, error) {
+	if v == 0 || v > base {
+		return Document{}, fault.New(fault.KindBadRequest, "version %d is not a change below version %d", v, base+1).
 			WithRemedy("list the versions with show versions")
 	}
-	current := k.Current()
-	after, err := k.Load(ctx, v)
-	if err != nil {
-		return Document{}, err
-	}
-	before, err := k.Load(ctx, v-1)
-	if err != nil {
-		return Document{}, err
+	var documents [3]Document
+	for i, load := range [...]Version{v - 1, v, base} {
+		s, err := k.Load(ctx, load)
+		if err != nil {
+			return Document{}, err
+		}
+		documents[i] = s.Document
 	}
-	return current.Document.revert(Diff(before.Document, after.Document))
+	return documents[2].revert(Diff(documents[0], documents[1]))
 }
