Show values of the configuration in one format

Cause: a conflict of an undo printed Go's "map[]" for an empty entry. Ruled out: a second formatter in internal/operator; config.FormatValue serves both. Change: config.FormatValue; the operator's tables use it. Conclusion: messages and tables print the same text for a value.

--- a/internal/operator/show_config.go
+++ b/internal/operator/show_config.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/fault"
@@ -27,20 +25,11 @@
 	return t
 }
 
-// valueCell shows one YAML value; nil means that the field is not set.
 func valueCell(v any) any {
-	m, ok := v.(map[string]any)
-	switch {
-	case v == nil:
+	if v == nil {
 		return nil
-	case !ok:
-		return fmt.Sprint(v)
 	}
-	parts := make([]string, 0, len(m))
-	for _, key := range slices.Sorted(maps.Keys(m)) {
-		parts = append(parts, fmt.Sprintf("%s: %v", config.Path{key}, valueCell(m[key])))
-	}
-	return "{" + strings.Join(parts, ", ") + "}"
+	return config.FormatValue(v)
 }
 
 func (x *run) configTable(s *config.Snapshot, q *show) (*Table, error) {
--- a/pkg/config/diff.go
+++ b/pkg/config/diff.go
@@ -5,6 +5,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"strings"
 
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
@@ -18,14 +19,24 @@
 
 // String shows the field with both values.
 func (d Difference) String() string {
-	return fmt.Sprintf("%s: %s -> %s", d.Path, show(d.Old), show(d.New))
+	return fmt.Sprintf("%s: %s -> %s", d.Path, FormatValue(d.Old), FormatValue(d.New))
 }
 
-func show(v any) string {
-	if v == nil {
+// FormatValue shows one value of a document on one line. Nil means that the
+// field is not set.
+func FormatValue(v any) string {
+	m, ok := v.(map[string]any)
+	switch {
+	case v == nil:
 		return "(not set)"
+	case !ok:
+		return fmt.Sprint(v)
 	}
-	return fmt.Sprint(v)
+	parts := make([]string, 0, len(m))
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, Path{key}.String()+": "+FormatValue(m[key]))
+	}
+	return "{" + strings.Join(parts, ", ") + "}"
 }
 
 // Diff lists the differences between two documents in path order.
@@ -57,7 +68,7 @@
 	tree := d.tree()
 	for _, c := range changes {
 		if current, _ := d.Field(c.Path); !reflect.DeepEqual(current, c.New) {
-			return Document{}, fault.New(fault.KindConflict, "%s was changed again, to %s", c.Path, show(current)).
+			return Document{}, fault.New(fault.KindConflict, "%s was changed again, to %s", c.Path, FormatValue(current)).
 				WithRemedy("undo the later change first, or set the field")
 		}
 		if c.Old == nil {
