Keep one mean load for each locality

Cause: in a burst the estimated load of a server without a fresh report decayed to a mean that was cut at the slots, so deep queues looked short. Change: the mean is kept for each locality and not cut; probes to other regions are five times rarer.

--- a/pkg/routing/choice.go
+++ b/pkg/routing/choice.go
@@ -28,7 +28,7 @@
 func (c *Choice) add(s candidate, p *pool, at time.Duration) {
 	c.Considered[c.N] = Considered{
 		ID: s.e.ID, Expected: time.Duration(s.cost),
-		Load: float32(s.e.load(p.mean, at)), Own: int32(s.e.own), Age: s.e.age(at),
+		Load: float32(s.e.load(p, at)), Own: int32(s.e.own), Age: s.e.age(at),
 	}
 	c.N++
 }
--- a/pkg/routing/entry.go
+++ b/pkg/routing/entry.go
@@ -59,8 +59,8 @@
 }
 
 // load estimates the requests running and queued at the server.
-func (e *entry) load(mean float64, at time.Duration) float64 {
-	n := mean * e.slots
+func (e *entry) load(p *pool, at time.Duration) float64 {
+	n := p.mean[e.locality] * e.slots
 	if e.observed >= 0 {
 		age := float64(at-e.observed) / float64(reportDecay)
 		n += (e.reported - n) / (1 + age)
@@ -88,7 +88,7 @@
 	run := e.runTime(p.median, at)
 	run += p.config.Threshold * (run - p.median)
 	slots := e.slots * e.ramp(p.config.SlowStart, at)
-	over := excess(e.load(p.mean, at) + 1 - slots)
+	over := excess(e.load(p, at) + 1 - slots)
 	t := float64(e.link) + run + run*over/slots + e.failing*penalty*p.median
 	if at < e.refusing {
 		t += float64(time.Second)
--- a/pkg/routing/observe.go
+++ b/pkg/routing/observe.go
@@ -96,7 +96,7 @@
 
 // wait is the expected wait in the queue of the server.
 func (e *entry) wait(p *pool, at time.Duration) float64 {
-	over := max(e.load(p.mean, at)-e.slots, 0)
+	over := max(e.load(p, at)-e.slots, 0)
 	return over / e.slots * max(e.told, p.median)
 }
 
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -20,9 +20,11 @@
 	active []*entry
 	ends   [localities]int
 	dirty  bool
-	// mean is the mean load as a share of the slots, median the median run
-	// time in nanoseconds.
-	mean, median float64
+	// mean is the mean load of each locality as a share of the slots, median
+	// the median run time in nanoseconds. Regions are overloaded separately,
+	// so one mean for all would hide free servers elsewhere.
+	mean   [localities]float64
+	median float64
 	// at is the newest instant seen.
 	at      time.Duration
 	group   outlier.Group
@@ -104,19 +106,21 @@
 	p.at = at
 	p.rebuild()
 	p.scratch = p.scratch[:0]
-	var load, slots float64
+	var load, slots [localities]float64
 	for _, e := range p.active {
 		p.fade(e, at)
 		if est := max(e.measured, e.told); est > 0 && e.health.Serving() {
 			p.scratch = append(p.scratch, est)
 		}
 		if e.observed >= 0 && e.health.Serving() && !e.draining {
-			load += e.load(p.mean, at)
-			slots += e.slots
+			load[e.locality] += e.load(p, at)
+			slots[e.locality] += e.slots
 		}
 	}
-	if slots > 0 {
-		p.mean = min(load/slots, 1)
+	for l := range p.mean {
+		if slots[l] > 0 {
+			p.mean[l] = load[l] / slots[l]
+		}
 	}
 	if len(p.scratch) > 0 {
 		slices.Sort(p.scratch)
@@ -141,7 +145,7 @@
 func (p *pool) state(e *entry, epoch time.Time) ServerState {
 	s := ServerState{
 		Server: e.Server, Own: e.own, Draining: e.draining, Subset: e.subset,
-		Load:     e.load(p.mean, p.at),
+		Load:     e.load(p, p.at),
 		Latency:  time.Duration(e.runTime(p.median, p.at)),
 		Expected: time.Duration(e.expected(p, p.at)),
 		Age:      e.age(p.at),
--- a/pkg/routing/probe.go
+++ b/pkg/routing/probe.go
@@ -12,7 +12,7 @@
 	for _, p := range t.pools {
 		p.rebuild()
 		for _, e := range p.active {
-			if e.draining || e.age(at) >= 0 && e.age(at) < t.Probe || e.probed > 0 && at-e.probed < t.Probe {
+			if e.draining || !e.probeDue(t.Probe, at) {
 				continue
 			}
 			e.probed = at
@@ -24,3 +24,15 @@
 	}
 	return buf
 }
+
+// distantProbe is the factor on the period for servers of other regions: a
+// probe costs as much there as seven loads on answers.
+const distantProbe = 5
+
+func (e *entry) probeDue(period, at time.Duration) bool {
+	if e.locality == distant {
+		period *= distantProbe
+	}
+	known := e.observed >= 0 && at-e.observed < period
+	return !known && (e.probed == 0 || at-e.probed >= period)
+}
