--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -56,8 +56,9 @@
 	assert.NilError(t, credentials.Replace(cert, key, authority.CertPEM))
 	n := &Node{Options: Options{
 		ID: fmt.Sprintf("n%d", i), Region: "poa", Domain: fmt.Sprintf("d%d", i%2),
-		Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Announce: "127.0.0.1:0",
-		Secret: "a secret of the test cluster", Table: c.store.URL(), Object: c.store.URL(),
+		Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Announce: "127.0.0.1:0", Operator: "127.0.0.1:0",
+		TokenSecret: "an operator secret of at least 32 characters",
+		Secret:      "a secret of the test cluster", Table: c.store.URL(), Object: c.store.URL(),
 		Credentials: credentials, Notice: 50 * time.Millisecond,
 		Log: &log.Logger{Handler: discard.Default},
 	}}
--- a/internal/daemon/from_settings.go
+++ b/internal/daemon/from_settings.go
@@ -14,6 +14,7 @@
 	return Options{
 		ID: s.Node.ID, Region: s.Node.Region, Domain: s.Node.Domain,
 		Caller: s.Listen.Caller, Peer: s.Listen.Peer, Announce: s.Listen.Announce,
+		Operator: s.Listen.Operator, TokenSecret: s.Tokens.Secret,
 		Advertise: s.Listen.Advertise, Seeds: s.Seeds, Credentials: credentials,
 		Secret: s.Secret, Table: s.Store.Table, Object: s.Store.Object,
 		StoreTimeout: time.Duration(s.Store.Timeout), First: s.Node.First,
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -21,17 +21,18 @@
 type Node struct {
 	Options
 
-	routes   routing.Table
-	limits   budget.Limiter
-	local    localServer
-	gate     gate
-	far      far
-	entry    entry
-	members  membership
-	config   configuration
-	peers    node.Transport
-	callers  caller.Server
-	announce http1.Server
+	routes    routing.Table
+	limits    budget.Limiter
+	local     localServer
+	gate      gate
+	far       far
+	entry     entry
+	members   membership
+	config    configuration
+	peers     node.Transport
+	callers   caller.Server
+	announce  http1.Server
+	operators operators
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -40,7 +41,9 @@
 // Start binds the addresses and begins to serve.
 func (n *Node) Start() error {
 	n.Options = n.withDefaults()
-	n.assemble()
+	if err := n.assemble(); err != nil {
+		return err
+	}
 	if err := n.listen(); err != nil {
 		return err
 	}
@@ -58,7 +61,7 @@
 }
 
 // assemble connects the parts; nothing runs yet.
-func (n *Node) assemble() {
+func (n *Node) assemble() error {
 	shared := common{Options: &n.Options}
 	n.routes.Config = routing.Config{Node: n.ID, Region: n.Region, Domain: n.Domain}
 	n.far = far{common: shared, local: &n.local, gate: &n.gate}
@@ -72,6 +75,7 @@
 	n.config.controls(n.peers.Controls)
 	n.callers.Calls, n.callers.Rules, n.callers.MaxBody = n, &n.config, n.MaxBody
 	n.announce.Handler = n.handleAnnounce
+	return n.operators.assemble(n)
 }
 
 // Serve implements call.Server for requests of callers.
@@ -89,6 +93,9 @@
 	if err := n.callers.Listen(n.Caller); err != nil {
 		return err
 	}
+	if err := n.operators.Listen(n.Operator); err != nil {
+		return err
+	}
 	return n.announce.Listen(n.Announce)
 }
 
@@ -98,6 +105,9 @@
 // PeerAddr returns the address on which other nodes are served.
 func (n *Node) PeerAddr() string { return n.peers.Addr() }
 
+// OperatorAddr returns the address on which operators are served.
+func (n *Node) OperatorAddr() string { return n.operators.Addr() }
+
 // AnnounceAddr returns the address on which the backend server announces itself.
 func (n *Node) AnnounceAddr() string { return n.announce.Addr() }
 
@@ -185,6 +195,7 @@
 	n.members.gossip.Stop()
 	n.callers.Close()
 	n.announce.Close()
+	n.operators.Close()
 	n.Log.WithField("node", n.ID).WithField("left", left).Info("node stopped")
 }
 
@@ -195,6 +206,7 @@
 	cancel()
 	n.callers.Close()
 	n.announce.Close()
+	n.operators.Close()
 	_ = n.peers.Close(ctx)
 }
 
--- /dev/null
+++ b/internal/daemon/operators.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/vanillasail/vanillasail/internal/http1"
+	"github.com/vanillasail/vanillasail/internal/object"
+	"github.com/vanillasail/vanillasail/internal/operator"
+	"github.com/vanillasail/vanillasail/internal/store"
+	"github.com/vanillasail/vanillasail/pkg/config"
+)
+
+// maxCommand bounds the body of an operator's request.
+const maxCommand = 2 << 20
+
+// operators serves the operators' language on an address of its own.
+type operators struct {
+	http1.Server
+	node    *Node
+	console operator.Console
+	keys    operator.Keys
+}
+
+func (o *operators) assemble(n *Node) error {
+	o.node = n
+	if n.TokenSecret != "" {
+		key, err := operator.SecretKey("settings", []byte(n.TokenSecret))
+		if err != nil {
+			return err
+		}
+		o.keys = operator.Keys{key}
+	}
+	o.console = operator.Console{Config: &n.config, Members: memberView{n}, Log: n.Log}
+	if n.Object != "" {
+		o.console.Objects = object.Client{Endpoint: store.Endpoint{Base: n.Object, Timeout: n.StoreTimeout}}
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", &operator.Handler{Console: &o.console, Keys: func() operator.Keys { return o.keys }})
+	mux.HandleFunc("GET /ready", o.ready)
+	o.Handler = http1.Adapt(mux)
+	o.MaxBody = maxCommand
+	return nil
+}
+
+// readiness is what the platform's health check and scripts read.
+type readiness struct {
+	Ready   bool   `json:"ready"`
+	Version uint64 `json:"version"`
+	// Servers counts the servers of the service that get new work.
+	Servers int `json:"servers"`
+}
+
+func (o *operators) ready(w http.ResponseWriter, r *http.Request) {
+	state := readiness{Ready: o.node.config.Ready() && !o.node.far.stopping.Load(), Version: uint64(o.node.config.Version())}
+	for _, s := range o.node.routes.Snapshot(r.URL.Query().Get("service")) {
+		if !s.Draining {
+			state.Servers++
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if !state.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(state)
+}
+
+// memberView shows the servers as this node sees them.
+type memberView struct{ *Node }
+
+// Servers implements operator.Members.
+func (v memberView) Servers(context.Context) []operator.Server {
+	var all []operator.Server
+	for _, service := range v.routes.Services() {
+		for _, s := range v.routes.Snapshot(service) {
+			m, _ := v.members.protocol.Table().Get(s.ID)
+			state := m.State.String()
+			if s.Draining {
+				state = "draining"
+			} else if s.State != "" && s.State != "serving" {
+				state = s.State
+			}
+			all = append(all, operator.Server{
+				ID: s.ID, Service: service, Region: s.Region, Domain: s.Domain, Addr: m.Addr, State: state,
+				Slots: s.Slots, InFlight: s.Own, Queued: max(0, int(s.Load)-s.Slots),
+				Latency: s.Latency, Age: s.Age, Config: config.Version(m.Config),
+			})
+		}
+	}
+	return all
+}
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -16,8 +16,11 @@
 	ID     string
 	Region string
 	Domain string
-	// Caller, Peer and Announce are the addresses to listen on (IP:port).
-	Caller, Peer, Announce string
+	// Caller, Peer, Announce and Operator are the addresses to listen on
+	// (IP:port).
+	Caller, Peer, Announce, Operator string
+	// TokenSecret verifies operators' tokens; empty refuses every operator.
+	TokenSecret string
 	// Advertise is the peer address that other nodes use; empty means Peer.
 	Advertise string
 	// Secret seals membership datagrams; all nodes share it.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -107,8 +107,9 @@
 	place := places[i%len(places)]
 	n := &daemon.Node{Options: daemon.Options{
 		ID: id, Region: place.region, Domain: place.domain,
-		Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Announce: "127.0.0.1:0",
-		Secret: "secret of the demo cluster", Table: s.store.URL(), Object: s.store.URL(),
+		Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Announce: "127.0.0.1:0", Operator: "127.0.0.1:0",
+		TokenSecret: "an operator secret of at least 32 characters",
+		Secret:      "secret of the demo cluster", Table: s.store.URL(), Object: s.store.URL(),
 		Credentials: credentials, Notice: 500 * time.Millisecond,
 		Log: &log.Logger{Handler: discard.Default},
 	}}
