--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -14,7 +14,7 @@
 	"github.com/vanillasail/vanillasail/internal/standin/server"
 )
 
-// fault store QUERY | fault sN NAME VALUE sets switches of a stand-in.
+// fault store QUERY | fault sN NAME VALUE | fault sN drain sets switches of a stand-in.
 func (w *world) fault(args []string) error {
 	if args[0] == "store" {
 		return w.request(http.MethodPut, "http://"+w.store+"/fault?"+args[1], "", nil)
@@ -23,6 +23,9 @@
 	if err != nil {
 		return err
 	}
+	if args[1] == "drain" {
+		return w.request(http.MethodPost, "http://"+a.server+"/drain", "", nil)
+	}
 	return w.request(http.MethodPost, fmt.Sprintf("http://%s/fault/%s?value=%s", a.server, args[1], args[2]), "", nil)
 }
 
--- a/internal/scenario/load_test.go
+++ b/internal/scenario/load_test.go
@@ -20,7 +20,7 @@
 	<-r.done
 }
 
-// load start [query] | load more N | load stop runs callers in the background;
+// load start [query] | load avoid nN | load more N | load stop runs callers in the background;
 // more waits until N further requests were sent.
 func (w *world) load(args []string) error {
 	switch args[0] {
@@ -36,6 +36,9 @@
 		}()
 		w.running = r
 		return nil
+	case "avoid":
+		w.moveCallers(args[1])
+		return nil
 	case "more":
 		return w.loadMore(args[1])
 	case "stop":
