--- a/internal/node/answer_body.go
+++ b/internal/node/answer_body.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/quic-go/quic-go"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
@@ -39,6 +40,9 @@
 		if kind == frameEnd {
 			return 0, b.end(size)
 		}
+		if kind == frameFault {
+			return 0, b.fault(size)
+		}
 		if kind != frameData {
 			return 0, b.cut(io.ErrUnexpectedEOF)
 		}
@@ -68,6 +72,19 @@
 	return io.EOF
 }
 
+// fault returns the error that the far node met while it read the answer.
+func (b *answerBody) fault(size int) error {
+	payload := make([]byte, size)
+	if _, err := io.ReadFull(b.reader, payload); err != nil {
+		return b.cut(err)
+	}
+	var f fault.Error
+	if err := msgpack.Unmarshal(payload, &f); err != nil {
+		return b.cut(err)
+	}
+	return b.cut(&f)
+}
+
 func (b *answerBody) cut(err error) error {
 	return fault.New(fault.KindCutShort, "answer ended after %d bytes: %v", b.total, err)
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"time"
@@ -48,13 +49,13 @@
 }
 
 func (t *Transport) exchange(stream *quic.Stream, head requestHead, body []byte) (*call.Answer, error) {
-	if err := writeRequest(stream, head, body); err != nil {
-		return nil, err
-	}
+	sent := writeRequest(stream, head, body)
 	reader := bufio.NewReaderSize(stream, readBufferSize)
 	var answer answerHead
+	// A peer that refuses the request answers before it has read the body, so
+	// an answer may come although the write failed.
 	if err := readHead(reader, &answer); err != nil {
-		return nil, err
+		return nil, errors.Join(sent, err)
 	}
 	if answer.Fault != nil {
 		return nil, answer.Fault
@@ -121,8 +122,9 @@
 
 // unknown types an error that came after bytes of the request had left.
 func unknown(ctx context.Context, peer Peer, err error) error {
-	if f := fault.As(err); f.Kind != fault.KindInternal || f.Outcome == fault.Refused {
-		return f
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		return typed
 	}
 	if ctx.Err() != nil {
 		return fault.New(fault.KindDeadline, "node %s did not answer before the deadline", peer.ID)
--- a/internal/node/frame.go
+++ b/internal/node/frame.go
@@ -17,6 +17,9 @@
 	frameHead byte = iota + 1
 	frameData
 	frameEnd
+	// frameFault ends an answer that was cut short; a stream reset could
+	// overtake the frames before it.
+	frameFault
 )
 
 const (
@@ -82,7 +85,7 @@
 
 func frameLimit(kind byte) int {
 	switch kind {
-	case frameHead:
+	case frameHead, frameFault:
 		return maxHeadSize
 	case frameData:
 		return maxDataSize
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
@@ -162,7 +163,7 @@
 			break
 		}
 		if err != nil {
-			return err
+			return writeFault(stream, packet, err)
 		}
 		if _, err := stream.Write(packet); err != nil {
 			return err
@@ -173,3 +174,12 @@
 	_, err = stream.Write(packet)
 	return err
 }
+
+func writeFault(stream *quic.Stream, packet []byte, cause error) error {
+	payload, err := msgpack.Marshal(fault.As(cause))
+	if err != nil {
+		return err
+	}
+	_, err = stream.Write(appendFrame(packet, frameFault, payload))
+	return err
+}
