Add pkg/retry, a budget for retries that travels with the chain

Cause: retries at each of 10 hops multiply the load on the last one when everything fails, and a request that is not idempotent must run at most once. Ruled out: a budget at each hop of 10 %, which allows 1.1^10 = 2.6 times the load; a retry count copied to every call of a hop, which a server that fans out multiplies; tokens that never lapse, which a burst can spend long after. Change: Budget grants at most 10 % of the first calls' number in retries and takes unspent ones back; Allowance splits instead of being copied; Attempts sends to each server once and hands a refusal over once; Ledger holds the allowance while the local server makes its own calls; Hedger takes the p95 of each class from HdrHistogram windows.

--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,122 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+func started(retries uint8) *Attempts {
+	t := &Attempts{}
+	t.Start(Allowance{Retries: retries, Deadline: start.Add(time.Hour)})
+	return t
+}
+
+// Guards against a second execution of a request that is not idempotent (P4),
+// and against retries of what fails everywhere.
+func TestWhichCausesAreRetried(t *testing.T) {
+	for name, c := range map[string]struct {
+		err              *fault.Error
+		idempotent, want bool
+	}{
+		"idempotent and lost":             {fault.New(fault.KindUnreachable, ""), true, true},
+		"not idempotent and lost":         {fault.New(fault.KindUnreachable, ""), false, false},
+		"not idempotent and cut short":    {fault.New(fault.KindCutShort, ""), false, false},
+		"not idempotent and not sent":     {fault.New(fault.KindUnreachable, "").WithOutcome(fault.Refused), false, true},
+		"not idempotent and refused":      {fault.New(fault.KindOverloaded, ""), false, true},
+		"refusal that may have run":       {fault.New(fault.KindOverloaded, "").WithOutcome(fault.Unknown), false, false},
+		"drain after it was sent":         {fault.New(fault.KindDraining, "").WithOutcome(fault.Unknown), false, false},
+		"quarantined":                     {fault.New(fault.KindQuarantined, ""), true, false},
+		"deadline":                        {fault.New(fault.KindDeadline, ""), true, false},
+		"the system's own internal error": {fault.New(fault.KindInternal, ""), true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b Budget
+			_, ok := b.Spend(Allowance{Retries: 1}, c.idempotent, CauseOf(c.err), start)
+			assert.Equal(t, ok, c.want)
+			_, ok = b.Spend(Allowance{}, c.idempotent, CauseOf(c.err), start)
+			assert.Assert(t, !ok, "spent from nothing")
+			_, ok = b.Spend(Allowance{Retries: 1, Deadline: start}, c.idempotent, CauseOf(c.err), start)
+			assert.Assert(t, !ok, "retried after the deadline")
+		})
+	}
+}
+
+// Guards against a refused request that wanders from server to server.
+func TestHandoverAtMostOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second Cause
+		retries       uint8
+		want          [2]bool
+	}{
+		"leaving costs nothing":       {Leaving, Leaving, 0, [2]bool{true, false}},
+		"overloaded costs one":        {Overloaded, Overloaded, 2, [2]bool{true, false}},
+		"overloaded without retries":  {Overloaded, Overloaded, 0, [2]bool{false, false}},
+		"a retry after a handover":    {Leaving, Failed, 2, [2]bool{true, true}},
+		"a handover of either reason": {Leaving, Overloaded, 2, [2]bool{true, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b Budget
+			tries := started(c.retries)
+			for i, cause := range []Cause{c.first, c.second} {
+				server := string(rune('a' + i))
+				lent, _ := tries.Send(server)
+				tries.Answer(server, lent.Retries)
+				assert.Equal(t, tries.Retry(&b, true, cause, start), c.want[i])
+			}
+		})
+	}
+}
+
+// Guards against a retry on the server that failed, and against an answer that
+// returns more than was sent along.
+func TestNeverTheSameServer(t *testing.T) {
+	var b Budget
+	tries := started(2)
+	lent, ok := tries.Send("a")
+	assert.Assert(t, ok && lent.Retries == 1 && lent.Hop == 1)
+	tries.Answer("a", 200)
+	tries.Answer("a", 200)
+	assert.Equal(t, tries.Left().Retries, uint8(2))
+	_, ok = tries.Send("b")
+	assert.Assert(t, !ok, "sent without permission")
+	assert.Assert(t, tries.Retry(&b, true, Failed, start))
+	_, ok = tries.Send("a")
+	assert.Assert(t, !ok, "sent to the same server")
+	_, ok = tries.Send("b")
+	assert.Assert(t, ok)
+}
+
+// Guards against a saved budget that is spent in one burst long after.
+func TestUnusedTokensLapse(t *testing.T) {
+	var b Budget
+	for range 1000 {
+		b.Put(b.Grant(time.Time{}, start))
+	}
+	assert.Equal(t, b.Grant(time.Time{}, start.Add(lapse)).Retries, uint8(grant))
+	assert.Equal(t, b.Grant(time.Time{}, start.Add(3*lapse)).Retries, uint8(0))
+}
+
+// Guards against hedges that add more than 2 % load, come before the p95, or
+// run a request twice that is not idempotent.
+func TestHedgesStayWithinTwoPercent(t *testing.T) {
+	var h Hedger
+	hedges := 0
+	for i := range 10_000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		delay, ok := h.Delay("lookup", now)
+		assert.Equal(t, ok, i >= minSamples && delay > 0)
+		assert.Assert(t, !ok || delay > 9*time.Millisecond && delay < 11*time.Millisecond, "%v", delay)
+		h.Observe("lookup", map[bool]time.Duration{true: time.Second, false: 10 * time.Millisecond}[i%25 == 24], now)
+		tries := started(2)
+		tries.Send("a")
+		assert.Assert(t, !tries.Hedge(&h, false, now))
+		if tries.Hedge(&h, true, now) {
+			hedges++
+		}
+	}
+	assert.Assert(t, hedges <= 200 && hedges > 190, "%d hedges", hedges)
+}
