--- a/internal/gossip/announcer.go
+++ b/internal/gossip/announcer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,6 +44,7 @@
 	// Wall reads the wall clock; nil means time.Now.
 	Wall func() time.Time
 
+	mu sync.Mutex
 	// next is when the own row is written again.
 	next time.Time
 }
@@ -51,7 +53,7 @@
 // returns the error; the node then joins through its seeds, and Refresh writes
 // the row later.
 func (a *Announcer) Join(ctx context.Context, now time.Time) error {
-	a.next = now.Add(retryEvery)
+	a.due(now, true)
 	values, err := a.Rows.List(ctx, RowPrefix)
 	if err != nil {
 		return eris.Wrap(err, "read member rows; joining through the seed addresses")
@@ -65,14 +67,14 @@
 
 // Refresh writes the own row when it is due.
 func (a *Announcer) Refresh(ctx context.Context, now time.Time) error {
-	if now.Before(a.next) {
+	if !a.due(now, false) {
 		return nil
 	}
-	a.next = now.Add(retryEvery)
 	return a.put(ctx, now)
 }
 
-// Leave writes the own row once more; call it after Node.Leave.
+// Leave writes the own row once more. Call it after Node.Leave and after the
+// last Refresh has returned, which could otherwise write an older row later.
 func (a *Announcer) Leave(ctx context.Context, now time.Time) error {
 	return a.put(ctx, now)
 }
@@ -86,13 +88,27 @@
 	if err := a.Rows.Put(ctx, RowPrefix+own.ID, value); err != nil {
 		return eris.Wrap(err, "write member row; it is written again in 10 s")
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.next = now.Add(RefreshEvery)
 	return nil
 }
 
+// due reports whether to write now, and sets the time of the next attempt.
+func (a *Announcer) due(now time.Time, always bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !always && now.Before(a.next) {
+		return false
+	}
+	a.next = now.Add(retryEvery)
+	return true
+}
+
 // sort separates rows that were refreshed recently from old ones, whose
-// addresses serve as seeds at most. Age counts from the newest row as well as
-// from the own clock, since either clock may have jumped.
+// addresses serve as seeds only. Age counts from the own clock or the newest
+// row, whichever is later: a clock that jumped then makes seeds of members, but
+// never members of the dead.
 func (a *Announcer) sort(values map[string][]byte) (fresh []member.Member, stale []string) {
 	var rows []row
 	var newest int64
@@ -105,7 +121,7 @@
 		rows = append(rows, r)
 	}
 	self := a.Node.Protocol.Own().ID
-	reference := min(newest, a.wall().Unix())
+	reference := max(newest, a.wall().Unix())
 	for _, r := range rows {
 		age := time.Duration(reference-r.Time) * time.Second
 		switch {
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -48,12 +48,42 @@
 	Target string `msgpack:"g,omitempty"`
 	// Ask requests the receiver's own record.
 	Ask bool `msgpack:"a,omitempty"`
-	// Heard tells how many milliseconds ago the sender's region last heard
-	// from other regions.
-	Heard    map[string]uint32 `msgpack:"h,omitempty"`
-	Members  []Member          `msgpack:"m,omitempty"`
-	Verdicts []Verdict         `msgpack:"v,omitempty"`
-	Digest   []byte            `msgpack:"d,omitempty"`
+	// Heard tells when the sender's region last heard from other regions.
+	Heard    list[Age]     `msgpack:"h,omitempty"`
+	Members  list[Member]  `msgpack:"m,omitempty"`
+	Verdicts list[Verdict] `msgpack:"v,omitempty"`
+	Digest   []byte        `msgpack:"d,omitempty"`
+}
+
+// Age tells how long ago a region was heard.
+type Age struct {
+	Region string `msgpack:"r"`
+	Millis uint32 `msgpack:"a"`
+}
+
+// list bounds the length that a message claims. The msgpack library allocates
+// a slice of structs at once for any claimed length, so that 8 bytes could
+// claim hundreds of gigabytes.
+type list[T any] []T
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *list[T]) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n > MaxPayload {
+		return eris.Errorf("list claims %d elements", n)
+	}
+	*l = nil
+	for range n {
+		var element T
+		if err := d.Decode(&element); err != nil {
+			return err
+		}
+		*l = append(*l, element)
+	}
+	return nil
 }
 
 // Encode returns the message in wire form.
--- a/pkg/member/pacer.go
+++ b/pkg/member/pacer.go
@@ -22,3 +22,6 @@
 
 // allows reports whether a datagram of full size may be sent now.
 func (p *pacer) allows() bool { return p.tokens >= MaxPayload+Overhead }
+
+// allowsSmall reports whether a datagram of a third of the size may be sent.
+func (p *pacer) allowsSmall() bool { return 3*p.tokens >= MaxPayload+Overhead }
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -19,18 +19,19 @@
 	if p.self.ID == "" || p.replacedBy.ID != "" || msg.From == p.self.ID {
 		return nil, nil
 	}
-	p.take(msg)
+	learned := p.take(msg)
 	sender, _, _ := p.table.record(msg.From)
 	if sender.Incarnation != msg.Incarnation {
 		// The sender is unknown, or an older or newer run at another address.
 		sender.ID, sender.Addr = msg.From, addr
 	}
-	p.answer(msg, &sender)
+	p.answer(msg, &sender, learned)
 	return p.flush(), nil
 }
 
-// take merges everything that a message says.
-func (p *Protocol) take(msg *Message) {
+// take merges everything that a message says and reports whether a record was
+// news.
+func (p *Protocol) take(msg *Message) bool {
 	var changed []Member
 	for _, m := range msg.Members {
 		if p.absorb(m) {
@@ -52,6 +53,7 @@
 		p.table.Merge(m.WithConfig(msg.Config))
 		p.hearConfig(msg.Config, m.Ref)
 	}
+	return len(changed) > 0
 }
 
 // absorb merges one record and reports whether it was news. Tombstones of
@@ -109,7 +111,7 @@
 }
 
 // answer replies to a message.
-func (p *Protocol) answer(msg *Message, sender *Member) {
+func (p *Protocol) answer(msg *Message, sender *Member, learned bool) {
 	switch msg.Kind {
 	case KindPing:
 		p.acknowledge(msg, sender)
@@ -122,7 +124,7 @@
 	case KindDigest:
 		p.compare(msg, sender)
 	case KindSync:
-		p.complete(msg, sender)
+		p.complete(msg, sender, learned)
 	}
 	if msg.Ask && msg.Kind != KindPing {
 		reply := p.header(KindNews)
--- a/pkg/member/region.go
+++ b/pkg/member/region.go
@@ -80,22 +80,19 @@
 }
 
 // ages returns how long ago each region was heard.
-func (c *cross) ages(clock time.Duration) map[string]uint32 {
-	if len(c.regions) == 0 {
-		return nil
-	}
-	ages := make(map[string]uint32, len(c.regions))
+func (c *cross) ages(clock time.Duration) []Age {
+	var ages []Age
 	for _, d := range c.regions {
-		ages[d.name] = milliseconds(clock - d.heard)
+		ages = append(ages, Age{d.name, milliseconds(clock - d.heard)})
 	}
 	return ages
 }
 
 // learn takes over what another member of the own region heard.
-func (c *cross) learn(ages map[string]uint32, clock time.Duration) {
-	for _, d := range c.regions {
-		if age, ok := ages[d.name]; ok {
-			d.heard = max(d.heard, clock-time.Duration(age)*time.Millisecond)
+func (c *cross) learn(ages []Age, clock time.Duration) {
+	for _, a := range ages {
+		if d := c.find(a.Region); d != nil {
+			d.heard = max(d.heard, clock-time.Duration(a.Millis)*time.Millisecond)
 		}
 	}
 }
--- a/pkg/member/sync.go
+++ b/pkg/member/sync.go
@@ -14,6 +14,7 @@
 	// quickRounds is how many comparisons follow quickly after one that changed
 	// the table: a single member may know as little as this node.
 	quickRounds = 3
+	contacts    = 3
 	seedEvery   = 10 * time.Second
 	// maxSeeds bounds the addresses that are remembered.
 	maxSeeds = 64
@@ -109,15 +110,23 @@
 	p.sendBuckets(sender, p.table.differing(msg.Digest), true)
 }
 
-// complete answers with the own records of the buckets that still differ.
-func (p *Protocol) complete(msg *Message, sender *Member) {
-	p.sendBuckets(sender, p.table.differing(msg.Digest), false)
+// complete answers with the own records of the buckets that still differ. A
+// node that just learned something is behind and saves the bytes; the next
+// comparison follows soon.
+func (p *Protocol) complete(msg *Message, sender *Member, learned bool) {
+	if !learned {
+		p.sendBuckets(sender, p.table.differing(msg.Digest), false)
+	}
 }
 
 // sendBuckets sends at most two packets of records, starting at a random one
 // of the buckets, so that repeated comparisons cover all.
 func (p *Protocol) sendBuckets(to *Member, buckets []int, first bool) {
-	if len(buckets) == 0 || !p.pacer.allows() {
+	if len(buckets) == 0 {
+		return
+	}
+	if !p.pacer.allows() {
+		p.sendContacts(to)
 		return
 	}
 	start := p.Rand.IntN(len(buckets))
@@ -144,3 +153,16 @@
 		}
 	}
 }
+
+// sendContacts answers with a few members only. A seed that many nodes ask at
+// once has no bytes for more, and they can ask the others for the rest.
+func (p *Protocol) sendContacts(to *Member) {
+	if !p.pacer.allowsSmall() {
+		return
+	}
+	msg := p.header(KindSync)
+	for _, m := range random(p.Rand, p.peers.all, contacts, to.ID) {
+		msg.Members = append(msg.Members, *m)
+	}
+	p.send(to, ClassAntiEntropy, msg)
+}
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -66,6 +66,9 @@
 	t.touch(m.ID)
 	before := *old.Member
 	old.Member = &merged
+	if before.Addr != merged.Addr {
+		old.replaced = false // settle decides for the new address
+	}
 	if before.Addr != merged.Addr || before.Incarnation != merged.Incarnation {
 		t.settle(before.Addr)
 		t.settle(merged.Addr)
