--- /dev/null
+++ b/pkg/once/map.go
@@ -0,0 +1,84 @@
+package once
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Shards is the number of shards of a service.
+const Shards = 32
+
+const mapFormat = 1
+
+// Map lists the shards of one service. It is immutable and is the content of
+// one table row.
+type Map struct {
+	Service string
+	// Shards has Shards entries, ordered by index.
+	Shards []Shard
+}
+
+type mapRow struct {
+	Format int     `msgpack:"f"`
+	Shards []Shard `msgpack:"s"`
+}
+
+// Row returns the key of the table row that holds the map of a service.
+func Row(service string) string { return "once/" + service }
+
+// Index returns the index of the shard that holds a key.
+func Index(key string) int { return int(xxhash.Sum64String(key) % Shards) }
+
+// Digest returns the digest that tells two requests with one key apart.
+func Digest(method, path string, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range [...]string{method, path} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+// Shard returns the shard of a key. The zero Shard means an empty map.
+func (m Map) Shard(key string) Shard {
+	if len(m.Shards) != Shards {
+		return Shard{}
+	}
+	return m.Shards[Index(key)]
+}
+
+// With returns a copy with one shard replaced.
+func (m Map) With(s Shard) Map {
+	m.Shards = slices.Clone(m.Shards)
+	m.Shards[s.Index] = s
+	return m
+}
+
+// Encode returns the content of the table row.
+func (m Map) Encode() ([]byte, error) {
+	b, err := msgpack.Marshal(mapRow{Format: mapFormat, Shards: m.Shards})
+	return b, eris.Wrap(err, "encode shard map")
+}
+
+// DecodeMap parses the content of a table row.
+func DecodeMap(service string, b []byte) (Map, error) {
+	var row mapRow
+	if err := msgpack.Unmarshal(b, &row); err != nil {
+		return Map{}, eris.Wrapf(err, "table row %s is not a shard map; restore it from the table's backup", Row(service))
+	}
+	if row.Format != mapFormat || len(row.Shards) != Shards {
+		return Map{}, eris.Errorf("table row %s has format %d and %d shards; all nodes must run compatible versions",
+			Row(service), row.Format, len(row.Shards))
+	}
+	for i, s := range row.Shards {
+		if s.Service != service || s.Index != i || s.Epoch == 0 || s.Owner.IsZero() || s.Owner == s.Backup {
+			return Map{}, eris.Errorf("table row %s has an invalid shard %d; restore it from the table's backup", Row(service), i)
+		}
+	}
+	return Map{Service: service, Shards: row.Shards}, nil
+}
