Add the owner's controller over control messages and the table

Cause: pkg/once decides but does not talk; requests need an owner, a claim at the backup, kept answers and repairs of pairs. Ruled out: running a claimed request under its caller's context, which would cancel it with the caller and leave no answer for the resend; sync.WaitGroup for the goroutines under way, which must not be waited for while a message from another node starts new ones (the race detector reported it). Change: internal/owner with the control messages claim, settle, transfer, hand-over and promote, the cached table rows, the Controller, and repairs on Tick. call.Request carries the epoch that the entry node knows, so that a node tells a request for the owner from one for its backend server. Conclusion: tests pass with fake and with real transports; a race in node.Transport.Close between streams.Add and streams.Wait is reported to the author of internal/node and kept out of these tests by waiting first.

--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -39,6 +39,9 @@
 	Class   string      `msgpack:"c"`
 	// Key is the caller's Idempotency-Key, or empty.
 	Key string `msgpack:"k,omitempty"`
+	// Epoch is set only while an entry node forwards a keyed request to the
+	// owner of its shard; it is the epoch of the shard that the entry node knows.
+	Epoch uint64 `msgpack:"e,omitempty"`
 	// Idempotent is decided once, by the first node, from method and rules.
 	Idempotent bool `msgpack:"d"`
 	Hop        int  `msgpack:"p"`
@@ -63,6 +66,13 @@
 	return r
 }
 
+// WithEpoch returns a copy that is addressed to the owner of its key in an
+// epoch of the shard; zero addresses it to a backend server.
+func (r Request) WithEpoch(epoch uint64) Request {
+	r.Epoch = epoch
+	return r
+}
+
 // Keyed reports whether the request takes the at-most-once path.
 func (r Request) Keyed() bool { return r.Key != "" && !r.Idempotent }
 
--- /dev/null
+++ b/internal/owner/answer.go
@@ -0,0 +1,58 @@
+package owner
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+const (
+	// MaxKept is the largest answer body that is kept, in bytes.
+	MaxKept = 16 << 10
+	// copySize is the buffer of an answer on its way to the caller.
+	copySize = 8 << 10
+)
+
+// keptAnswer is the stored form of an answer.
+type keptAnswer struct {
+	Status int         `msgpack:"s"`
+	Header http.Header `msgpack:"h"`
+	Server string      `msgpack:"v"`
+	Body   []byte      `msgpack:"b"`
+}
+
+// add appends to the body, or reports false when it would be too large.
+func (k *keptAnswer) add(b []byte) bool {
+	if len(k.Body)+len(b) > MaxKept {
+		return false
+	}
+	k.Body = append(k.Body, b...)
+	return true
+}
+
+// encode returns nil for an answer that cannot be kept.
+func (k *keptAnswer) encode() []byte {
+	b, err := msgpack.Marshal(k)
+	if err != nil || len(b) > 2*MaxKept {
+		return nil
+	}
+	return b
+}
+
+// replay returns the kept first answer to a resent request.
+func replay(b []byte, r call.Request) (*call.Answer, error) {
+	var k keptAnswer
+	if err := msgpack.Unmarshal(b, &k); err != nil {
+		return nil, fault.New(fault.KindFinished, "key %q has run; its kept answer cannot be read: %v", r.Key, err)
+	}
+	return &call.Answer{
+		Status: k.Status, Header: k.Header, Server: k.Server,
+		Length: int64(len(k.Body)), Body: io.NopCloser(bytes.NewReader(k.Body)),
+		Allowance: r.Allowance, Replayed: true, Outcome: fault.Ran,
+	}, nil
+}
--- /dev/null
+++ b/internal/owner/controller_test.go
@@ -0,0 +1,297 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/once"
+)
+
+func request(key string) call.Request {
+	return call.Request{Service: "orders", Method: http.MethodPost, URI: "/orders/new", Key: key, Body: []byte("two pallets")}
+}
+
+// send returns the whole body of an answer.
+func (n *testNode) send(t *testing.T, r call.Request) (string, *call.Answer, error) {
+	t.Helper()
+	answer, err := n.Controller.Serve(t.Context(), r)
+	if err != nil {
+		return "", nil, err
+	}
+	b, err := io.ReadAll(answer.Body)
+	return string(b), answer, err
+}
+
+// pair returns the nodes that hold a key.
+func (c *cluster) pair(t *testing.T, key string) (s once.Shard, owner, backup, third *testNode) {
+	t.Helper()
+	m, err := c.nodes["a1"].load(t.Context(), "orders", time.Now())
+	assert.NilError(t, err)
+	s = m.Shard(scopedKey(request(key)))
+	for id, n := range c.nodes {
+		switch id {
+		case s.Owner.ID:
+			owner = n
+		case s.Backup.ID:
+			backup = n
+		default:
+			third = n
+		}
+	}
+	return s, owner, backup, third
+}
+
+// TestAnswers guards against a key that runs again, or that is answered with
+// something else than its first answer, whichever node the resend enters.
+func TestAnswers(t *testing.T) {
+	large := strings.Repeat("x", MaxKept+1)
+	refusal := fault.New(fault.KindOverloaded, "no slot")
+	cases := map[string]struct {
+		next         func(context.Context, call.Request) (*call.Answer, error)
+		resend       call.Request
+		first, again fault.Kind
+		replayed     bool
+		runs         int
+	}{
+		"answer is replayed":       {resend: request("k"), replayed: true, runs: 1},
+		"large answer is not kept": {next: func(context.Context, call.Request) (*call.Answer, error) { return answerOf(large), nil }, resend: request("k"), again: fault.KindFinished, runs: 1},
+		"refusal frees the key":    {next: func(context.Context, call.Request) (*call.Answer, error) { return nil, refusal }, resend: request("k"), first: fault.KindOverloaded, again: fault.KindOverloaded, runs: 2},
+		"failure is unknown":       {next: func(context.Context, call.Request) (*call.Answer, error) { return nil, io.ErrUnexpectedEOF }, resend: request("k"), first: fault.KindInternal, again: fault.KindOutcomeUnknown, runs: 1},
+		"cut answer is unknown": {next: func(context.Context, call.Request) (*call.Answer, error) {
+			return &call.Answer{Body: io.NopCloser(io.MultiReader(strings.NewReader("or"), failing{}))}, nil
+		}, resend: request("k"), first: fault.KindInternal, again: fault.KindOutcomeUnknown, runs: 1},
+		"another body":                        {resend: func() call.Request { r := request("k"); r.Body = []byte("three"); return r }(), again: fault.KindKeyReused, runs: 1},
+		"another tenant's key is another key": {resend: func() call.Request { r := request("k"); r.Tenant = "other"; return r }(), runs: 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a1", "b1", "c1")
+			count := 0
+			for _, n := range c.nodes {
+				n.next = func(ctx context.Context, r call.Request) (*call.Answer, error) {
+					c.mu.Lock()
+					count++
+					c.mu.Unlock()
+					if tc.next == nil {
+						return answerOf(fmt.Sprint("run ", count)), nil
+					}
+					return tc.next(ctx, r)
+				}
+			}
+			first, _, err := c.nodes["a1"].send(t, request("k"))
+			checkKind(t, err, tc.first)
+			again, answer, err := c.nodes["b1"].send(t, tc.resend)
+			checkKind(t, err, tc.again)
+			if tc.replayed {
+				assert.Equal(t, again, first)
+				assert.Assert(t, answer.Replayed)
+				assert.Equal(t, answer.Header.Get("Order"), "1")
+			}
+			assert.Equal(t, count, tc.runs)
+		})
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func checkKind(t *testing.T, err error, kind fault.Kind) {
+	t.Helper()
+	if kind == "" {
+		assert.NilError(t, err)
+		return
+	}
+	assert.Assert(t, err != nil)
+	assert.Equal(t, fault.As(err).Kind, kind, "%v", err)
+}
+
+// TestCallerGone guards against a claimed key that is canceled with its
+// caller, so that no resend could ever get the answer.
+func TestCallerGone(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1")
+	started, finish := make(chan struct{}), make(chan struct{})
+	for _, n := range c.nodes {
+		n.next = func(ctx context.Context, _ call.Request) (*call.Answer, error) {
+			close(started)
+			select {
+			case <-finish:
+				return answerOf("done"), nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	gone := make(chan error)
+	go func() {
+		_, err := c.nodes["a1"].Controller.Serve(ctx, request("k"))
+		gone <- err
+	}()
+	<-started
+	leave()
+	assert.Equal(t, fault.As(<-gone).Outcome, fault.Unknown)
+	_, _, err := c.nodes["b1"].send(t, request("k"))
+	checkKind(t, err, fault.KindStillRunning)
+	close(finish)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		body, _, err := c.nodes["c1"].send(t, request("k"))
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		assert.Equal(t, body, "done")
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// TestMemberLost guards against a key that runs again, or is refused for ever,
+// after one or both members of its pair are lost.
+func TestMemberLost(t *testing.T) {
+	cases := map[string]struct {
+		lose        func(c *cluster, s once.Shard)
+		old, fresh  fault.Kind
+		storeOutage fault.Kind
+	}{
+		"owner dead":  {lose: func(c *cluster, s once.Shard) { c.setStatus(s.Owner, once.Dead) }, storeOutage: fault.KindUnreachable},
+		"backup dead": {lose: func(c *cluster, s once.Shard) { c.setStatus(s.Backup, once.Dead) }, storeOutage: fault.KindNoOwner},
+		"both replaced": {lose: func(c *cluster, s once.Shard) {
+			c.setStatus(s.Owner, once.Gone)
+			c.setStatus(s.Backup, once.Gone)
+		}, old: fault.KindOutcomeUnknown, fresh: fault.KindOutcomeUnknown, storeOutage: fault.KindNoOwner},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a1", "b1", "c1", "d1")
+			_, _, err := c.nodes["a1"].send(t, request("k"))
+			assert.NilError(t, err)
+			s, _, _, third := c.pair(t, "k")
+			c.settled()
+			c.table.setDown(true)
+			tc.lose(c, s)
+			fresh := sameShard(s)
+			_, _, err = third.send(t, request(fresh))
+			checkKind(t, err, tc.storeOutage)
+			assert.Equal(t, fault.As(err).Outcome, fault.Refused)
+			c.table.setDown(false)
+			c.table.loseReply = true
+			// All nodes tick, as they do every second.
+			for range 3 {
+				for _, n := range c.nodes {
+					if c.Status(n.Keeper.Self) == once.Alive {
+						n.Repair(t.Context())
+						assert.NilError(t, n.Wait(t.Context()))
+					}
+				}
+			}
+			_, answer, err := third.send(t, request("k"))
+			checkKind(t, err, tc.old)
+			assert.Assert(t, err != nil || answer.Replayed)
+			_, _, err = third.send(t, request(fresh))
+			checkKind(t, err, tc.fresh)
+			assert.Equal(t, c.executed["k"], 1)
+		})
+	}
+}
+
+// sameShard returns another key of the shard.
+func sameShard(s once.Shard) string {
+	for i := 0; ; i++ {
+		if key := fmt.Sprint("other", i); once.Index(scopedKey(request(key))) == s.Index {
+			return key
+		}
+	}
+}
+
+// TestPausedOwner guards against an owner that runs a key although the backup
+// has taken its shard over.
+func TestPausedOwner(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1")
+	_, _, err := c.nodes["a1"].send(t, request("k"))
+	assert.NilError(t, err)
+	s, owner, backup, _ := c.pair(t, "k")
+	c.setStatus(s.Owner, once.Dead)
+	backup.Repair(t.Context())
+	c.settled()
+	c.table.setDown(true) // so that the shard does not move back
+	c.setStatus(s.Owner, once.Alive)
+	stale := request(sameShard(s)).WithEpoch(s.Epoch)
+	_, _, err = owner.send(t, stale)
+	checkKind(t, err, fault.KindNoOwner)
+	assert.Equal(t, fault.As(err).Outcome, fault.Refused)
+	assert.Equal(t, c.executed[stale.Key], 0)
+}
+
+// TestLostClaim guards against a key that runs without a copy at the backup.
+func TestLostClaim(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1")
+	_, owner, backup, _ := c.pair(t, "k")
+	_, _, err := owner.send(t, request("k"))
+	assert.NilError(t, err)
+	owner.lose.Store(KindClaim)
+	key := sameShard(once.Shard{Index: once.Index(scopedKey(request("k")))})
+	_, _, err = backup.send(t, request(key))
+	checkKind(t, err, fault.KindNoOwner)
+	assert.Equal(t, c.executed[key], 0)
+	owner.lose.Store("")
+	_, _, err = backup.send(t, request(key))
+	assert.NilError(t, err)
+	assert.Equal(t, c.executed[key], 1)
+}
+
+// TestHandOver guards against a planned stop that loses records, or a claim of
+// the stopping owner that its successor calls unknown.
+func TestHandOver(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1")
+	_, _, err := c.nodes["a1"].send(t, request("k"))
+	assert.NilError(t, err)
+	s, owner, _, third := c.pair(t, "k")
+	started, release := make(chan struct{}), make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish()
+	owner.next = func(context.Context, call.Request) (*call.Answer, error) {
+		close(started)
+		<-release
+		return answerOf("late"), nil
+	}
+	key, done := sameShard(s), make(chan string)
+	go func() {
+		body, _, _ := owner.send(t, request(key))
+		done <- body
+	}()
+	<-started
+	c.setStatus(s.Owner, once.Leaving)
+	stopped := make(chan error)
+	go func() { stopped <- owner.HandOver(t.Context()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range c.nodes {
+			n.Repair(t.Context())
+		}
+		select {
+		case err := <-stopped:
+			assert.NilError(t, err)
+			return poll.Success()
+		default:
+			return poll.Continue("hand-over goes on")
+		}
+	}, poll.WithDelay(time.Millisecond))
+	_, _, err = third.send(t, request(key))
+	checkKind(t, err, fault.KindStillRunning)
+	finish()
+	assert.Equal(t, <-done, "late")
+	assert.NilError(t, owner.Wait(t.Context()))
+	body, answer, err := third.send(t, request(key))
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Replayed && bytes.Equal([]byte(body), []byte("late")))
+}
--- /dev/null
+++ b/internal/owner/tasks.go
@@ -0,0 +1,55 @@
+package owner
+
+import (
+	"context"
+	"sync"
+)
+
+// tasks counts goroutines. Unlike sync.WaitGroup it may be waited for while
+// new ones start.
+type tasks struct {
+	mu sync.Mutex
+	n  int
+	// idle is closed when n returns to zero; nil when nothing waits.
+	idle chan struct{}
+}
+
+// Go runs f in a goroutine.
+func (t *tasks) Go(f func()) {
+	t.mu.Lock()
+	t.n++
+	t.mu.Unlock()
+	go func() {
+		defer t.done()
+		f()
+	}()
+}
+
+func (t *tasks) done() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.n--; t.n == 0 && t.idle != nil {
+		close(t.idle)
+		t.idle = nil
+	}
+}
+
+// Wait returns when no goroutine runs, or with an error when ctx is done.
+func (t *tasks) Wait(ctx context.Context) error {
+	t.mu.Lock()
+	if t.n == 0 {
+		t.mu.Unlock()
+		return nil
+	}
+	if t.idle == nil {
+		t.idle = make(chan struct{})
+	}
+	idle := t.idle
+	t.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/owner/transport_test.go
@@ -0,0 +1,93 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/node"
+	"github.com/vanillasail/vanillasail/pkg/once"
+)
+
+// listen gives every node of a cluster a transport on loopback.
+func listen(t testing.TB, c *cluster) {
+	t.Helper()
+	authority, err := node.NewAuthority("test", time.Hour)
+	assert.NilError(t, err)
+	for id, n := range c.nodes {
+		cert, key, err := authority.Issue(id, time.Hour)
+		assert.NilError(t, err)
+		tr := &node.Transport{ID: id, Calls: n.Controller, Controls: n.Controls(), MaxBody: 1 << 20, Credentials: &node.Credentials{}}
+		assert.NilError(t, tr.Credentials.Replace(cert, key, authority.CertPEM))
+		assert.NilError(t, tr.Listen("127.0.0.1:0"))
+		n.Network, c.addrs[id] = tr, tr.Addr()
+		t.Cleanup(func() { assert.NilError(t, tr.Close(context.Background())) })
+	}
+	t.Cleanup(c.settled)
+}
+
+// TestTransport guards against messages or answers that real transports cannot
+// carry: an answer by the owner, its replay through another node, and a
+// promotion after the owner's transport is gone.
+func TestTransport(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1")
+	listen(t, c)
+	for _, n := range c.nodes {
+		body, answer, err := n.send(t, request("k"))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "order k, run 1")
+		assert.Equal(t, answer.Status, http.StatusCreated)
+	}
+	s, owner, _, third := c.pair(t, "k")
+	c.settled()
+	assert.NilError(t, owner.Network.(*node.Transport).Close(t.Context()))
+	c.setStatus(s.Owner, once.Dead)
+	for _, n := range c.nodes {
+		if n != owner {
+			n.Repair(t.Context())
+		}
+	}
+	body, answer, err := third.send(t, request("k"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "order k, run 1")
+	assert.Assert(t, answer.Replayed)
+	assert.Equal(t, c.executed["k"], 1)
+}
+
+// BenchmarkClaim measures what a claim over loopback adds to a request.
+func BenchmarkClaim(b *testing.B) {
+	c := newCluster(b, "a1", "b1", "c1")
+	listen(b, c)
+	m, err := c.nodes["a1"].load(b.Context(), "orders", time.Now())
+	assert.NilError(b, err)
+	s := m.Shards[0]
+	owner := c.nodes[s.Owner.ID]
+	_, err = owner.load(b.Context(), "orders", time.Now())
+	assert.NilError(b, err)
+	assert.NilError(b, owner.transfer(b.Context(), s))
+	now, key, times := time.Now(), 0, make([]time.Duration, 0, b.N)
+	for b.Loop() {
+		now = now.Add(time.Second)
+		for key++; once.Index(scopedKey(call.Request{Key: name(key)})) != 0; {
+			key++
+		}
+		record, verdict := owner.Keeper.Begin("orders", scopedKey(call.Request{Key: name(key)}), 1, now)
+		assert.Equal(b, verdict, once.VerdictNew)
+		start := time.Now()
+		reply, err := owner.claim(b.Context(), s.Backup, record.Claim)
+		times = append(times, time.Since(start))
+		assert.NilError(b, err)
+		assert.Equal(b, reply.Verdict, once.VerdictAccepted)
+		owner.settle(record.Claim, once.OutcomeReleased, nil)
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
+}
+
+func name(i int) string { return time.Duration(i).String() }
