Derive the run time from requests in flight

Cause: slowdowns showed only in slow answers, which come late, and a smoothed latency of few answers is noisy; a queue that drained after a burst looked like a slow server. Ruled out: shorter smoothing of answers (still blind until the first one).

--- a/internal/experiment/clock.go
+++ b/internal/experiment/clock.go
@@ -39,6 +39,9 @@
 	c.after(period, again)
 }
 
+// time returns the instant as packages under pkg/ take it.
+func (c *clock) time() time.Time { return epoch.Add(c.now) }
+
 // run executes events until the given instant.
 func (c *clock) run(until time.Duration) {
 	for len(c.events) > 0 && c.events[0].at <= until {
--- a/internal/experiment/request.go
+++ b/internal/experiment/request.go
@@ -137,7 +137,7 @@
 		w.after(a.delay, func() {
 			if !a.ended {
 				a.ended = true
-				a.s.drop(a)
+				a.s.drop(a, false)
 			}
 		})
 		return
@@ -199,7 +199,7 @@
 	for len(r.open) > 0 {
 		a := r.open[0]
 		a.close(routing.Lost)
-		a.r.w.after(a.delay, func() { a.s.drop(a) })
+		a.r.w.after(a.delay, func() { a.s.drop(a, false) })
 	}
 	r.w.record(r, routing.Lost)
 }
--- a/pkg/routing/entry.go
+++ b/pkg/routing/entry.go
@@ -38,12 +38,14 @@
 	// sent is the number of own requests in flight since the newest report, at
 	// most own.
 	sent int
-	// measured is the run time in nanoseconds derived from own requests, told
-	// the one that the far node reports; 0 means unknown.
-	measured, told float64
+	// pace measures the latency of own requests.
+	pace pace
+	// told is the run time in nanoseconds that the far node reports; 0 means
+	// unknown.
+	told float64
 	// failing is the smoothed share of failures, in [0, 1].
 	failing float64
-	// sampled is the instant of the newest own sample or reported latency.
+	// sampled is the instant of the newest answer, failure or reported latency.
 	sampled time.Duration
 	// heard is the last answer, or the pick that ended an idle period.
 	heard time.Duration
@@ -72,23 +74,31 @@
 // nanoseconds. Estimates within the noise count as the peers' median. Requests
 // in flight without any answer for long show a stall before the first slow
 // answer does.
-func (e *entry) runTime(median float64, at time.Duration) float64 {
-	est := max(e.measured, e.told)
+func (e *entry) runTime(p *pool, load float64, at time.Duration) float64 {
+	est := max(e.measured(p, load, at), e.told)
 	if e.own > 0 {
 		est = max(est, float64(at-e.heard-e.link))
 	}
-	if est < noise*median {
-		return median
+	if est < noise*p.median {
+		return p.median
 	}
 	return est
 }
 
+// measured derives the run time in nanoseconds from own requests: their
+// latency without link and expected wait.
+func (e *entry) measured(p *pool, load float64, at time.Duration) float64 {
+	other := float64(e.link) + e.wait(p, load)
+	return e.pace.estimate(e.own, p.median+other, at) - other
+}
+
 // expected estimates the time to an answer in nanoseconds.
 func (e *entry) expected(p *pool, at time.Duration) float64 {
-	run := e.runTime(p.median, at)
+	load := e.load(p, at)
+	run := e.runTime(p, load, at)
 	run += p.config.Threshold * (run - p.median)
 	slots := e.slots * e.ramp(p.config.SlowStart, at)
-	over := excess(e.load(p, at) + 1 - slots)
+	over := excess(load + 1 - slots)
 	t := float64(e.link) + run + run*over/slots + e.failing*penalty*p.median
 	if at < e.refusing {
 		t += float64(time.Second)
--- a/pkg/routing/observe.go
+++ b/pkg/routing/observe.go
@@ -3,8 +3,7 @@
 import "time"
 
 const (
-	// gain is the weight of one own sample in the measured run time and in
-	// the share of failures.
+	// gain is the weight of one request in the share of failures.
 	gain = 0.2
 	// penalty is the time that a failure costs, as a multiple of the median
 	// run time: a server that fails fast must not look idle.
@@ -22,6 +21,7 @@
 	}
 	at := t.prepare(now)
 	p.at = at
+	e.pace.advance(e.own, at)
 	e.own = max(e.own-1, 0)
 	e.sent = min(e.sent, e.own)
 	serving := e.health.Serving()
@@ -29,9 +29,11 @@
 	case Answered:
 		e.heard = at
 		e.failing -= gain * e.failing
-		run := e.measure(p, float64(latency), at)
+		e.sampled = at
+		e.pace.ended++
+		run := float64(latency-e.link) - e.wait(p, e.load(p, at))
 		if serving {
-			run = max(e.measured, e.told)
+			run = max(e.measured(p, e.load(p, at), at), e.told)
 		}
 		p.group.Answered(&e.health, run/p.median, now)
 	case Failed, Lost:
@@ -46,7 +48,6 @@
 		e.refusing = at + refusal
 		p.group.CancelTrial(&e.health)
 	case Canceled:
-		e.measureCanceled(p, float64(latency), at)
 		p.group.CancelTrial(&e.health)
 	}
 	p.track(e, serving)
@@ -71,32 +72,12 @@
 			break
 		}
 	}
-	e.measured, e.told, e.failing = p.median, 0, 0
-}
-
-// measure takes a sample of the run time, which is the latency without link
-// and expected wait, and returns it.
-func (e *entry) measure(p *pool, latency float64, at time.Duration) float64 {
-	run := max(latency-float64(e.link)-e.wait(p, at), 0)
-	if e.measured == 0 {
-		e.measured = p.median
-	}
-	e.measured += gain * (run - e.measured)
-	e.sampled = at
-	return run
-}
-
-// measureCanceled takes a sample only from a request that ran longer than
-// expected; a shorter one says nothing.
-func (e *entry) measureCanceled(p *pool, latency float64, at time.Duration) {
-	if latency-float64(e.link)-e.wait(p, at) > max(e.measured, p.median) {
-		e.measure(p, latency, at)
-	}
+	e.pace, e.told, e.failing = pace{at: p.at}, 0, 0
 }
 
-// wait is the expected wait in the queue of the server.
-func (e *entry) wait(p *pool, at time.Duration) float64 {
-	over := max(e.load(p, at)-e.slots, 0)
+// wait is the expected wait in the queue of a server with the load.
+func (e *entry) wait(p *pool, load float64) float64 {
+	over := max(load-e.slots, 0)
 	return over / e.slots * max(e.told, p.median)
 }
 
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -39,6 +39,7 @@
 }
 
 func (e *entry) picked(at time.Duration) {
+	e.pace.advance(e.own, at)
 	if e.own == 0 {
 		e.heard = at
 	}
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -109,8 +109,9 @@
 	var load, slots [localities]float64
 	for _, e := range p.active {
 		p.fade(e, at)
-		if est := max(e.measured, e.told); est > 0 && e.health.Serving() {
-			p.scratch = append(p.scratch, est)
+		e.pace.advance(e.own, at)
+		if e.sampled > 0 && e.health.Serving() {
+			p.scratch = append(p.scratch, max(e.measured(p, e.load(p, at), at), e.told))
 		}
 		if e.observed >= 0 && e.health.Serving() && !e.draining {
 			load[e.locality] += e.load(p, at)
@@ -137,7 +138,6 @@
 	if at-e.sampled < fadeAfter || e.own > 0 || !e.health.Serving() {
 		return
 	}
-	e.measured += (p.median - e.measured) / 16
 	e.told += (p.median - e.told) / 16
 	e.failing -= e.failing / 16
 }
@@ -146,7 +146,7 @@
 	s := ServerState{
 		Server: e.Server, Own: e.own, Draining: e.draining, Subset: e.subset,
 		Load:     e.load(p, p.at),
-		Latency:  time.Duration(e.runTime(p.median, p.at)),
+		Latency:  time.Duration(e.runTime(p, e.load(p, p.at), p.at)),
 		Expected: time.Duration(e.expected(p, p.at)),
 		Age:      e.age(p.at),
 		Ramp:     e.ramp(p.config.SlowStart, p.at),
