Ask trial requests to be clearly faster than the ejection ratio

Cause: a server slowed 5x answers one request in five below the ratio of 3 that ejects it, so two trials could bring back a server that is still slow. Change: a trial counts as good below 0.67 of the ratio and decides nothing up to it. Results now also hold the p99.9 of idempotent requests, which alone may be hedged.

--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -25,8 +25,10 @@
 	P50        float64 `json:"p50"`
 	P99        float64 `json:"p99"`
 	P999       float64 `json:"p999"`
-	Refused    int     `json:"refused"`
-	Failed     int     `json:"failed"`
+	// Lookup is the p99.9 of idempotent requests, which alone may be hedged.
+	Lookup  float64 `json:"lookup"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
 	// Wasted is the number of attempts whose result was not used.
 	Wasted int `json:"wasted"`
 	// Extra is the share of hedged requests.
@@ -42,13 +44,15 @@
 
 func (w *world) result() Result {
 	slices.Sort(w.latencies)
+	slices.Sort(w.lookups)
 	seconds := w.opt.Length.Seconds()
 	n := float64(max(len(w.latencies), 1))
 	r := Result{
 		Deployment: w.dep.Name, Case: w.opt.Case.Name, Load: w.opt.Load, Policy: w.opt.Policy,
 		Seed: w.opt.Seed, Hedge: w.opt.Hedge, Budget: w.opt.Budget, Threshold: w.opt.Threshold,
 		Requests: len(w.latencies),
-		P50:      w.quantile(0.5), P99: w.quantile(0.99), P999: w.quantile(0.999),
+		P50:      quantile(w.latencies, 0.5), P99: quantile(w.latencies, 0.99), P999: quantile(w.latencies, 0.999),
+		Lookup:  quantile(w.lookups, 0.999),
 		Refused: w.refused, Failed: w.failed, Wasted: w.wasted,
 		Extra:    float64(w.hedges) / float64(max(w.requests, 1)),
 		Messages: float64(w.meter.messages) / n, Bytes: float64(w.meter.bytes) / n,
@@ -61,13 +65,13 @@
 	return r
 }
 
-// quantile returns a quantile of the sorted latencies in milliseconds.
-func (w *world) quantile(q float64) float64 {
-	if len(w.latencies) == 0 {
+// quantile returns a quantile of sorted latencies in milliseconds.
+func quantile(sorted []time.Duration, q float64) float64 {
+	if len(sorted) == 0 {
 		return 0
 	}
-	i := int(q * float64(len(w.latencies)))
-	return float64(w.latencies[min(i, len(w.latencies)-1)]) / float64(time.Millisecond)
+	i := int(q * float64(len(sorted)))
+	return float64(sorted[min(i, len(sorted)-1)]) / float64(time.Millisecond)
 }
 
 // WriteJSON writes one result a line.
@@ -84,14 +88,14 @@
 // WriteText writes the results as a table.
 func WriteText(out io.Writer, results []Result) error {
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(tw, "deployment\tcase\tload\tpolicy\tp50\tp99\tp99.9\trefused\tfailed\twasted\textra %\tmsg/call\tB/call\tB/s link\tB/s node\t")
+	_, _ = fmt.Fprintln(tw, "deployment\tcase\tload\tpolicy\tp50\tp99\tp99.9\tlookup\trefused\tfailed\twasted\textra %\tmsg/call\tB/call\tB/s link\tB/s node\t")
 	for _, r := range results {
 		name := r.Policy
 		if r.Hedge {
 			name += "+hedge"
 		}
-		_, _ = fmt.Fprintf(tw, "%s\t%s\t%.2f\t%s\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%.2f\t%.4f\t%.1f\t%.0f\t%.0f\t\n",
-			r.Deployment, r.Case, r.Load, name, r.P50, r.P99, r.P999, r.Refused, r.Failed, r.Wasted,
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%.2f\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%.2f\t%.4f\t%.1f\t%.0f\t%.0f\t\n",
+			r.Deployment, r.Case, r.Load, name, r.P50, r.P99, r.P999, r.Lookup, r.Refused, r.Failed, r.Wasted,
 			100*r.Extra, r.Messages, r.Bytes, r.busiest(), r.Node)
 	}
 	return tw.Flush()
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -58,6 +58,7 @@
 
 	next             uint64
 	latencies        []time.Duration
+	lookups          []time.Duration // latencies of idempotent requests
 	attempts, wasted int
 	hedges           int
 	refused, failed  int
@@ -163,6 +164,9 @@
 		latency = deadline
 	}
 	w.latencies = append(w.latencies, latency)
+	if r.idempotent {
+		w.lookups = append(w.lookups, latency)
+	}
 }
 
 // report sends the periodic load reports of all servers to all entries.
--- a/pkg/outlier/group.go
+++ b/pkg/outlier/group.go
@@ -9,6 +9,11 @@
 // minSamples is the number of outcomes before the share of failures counts.
 const minSamples = 10
 
+// passShare is the share of Slow below which a trial is good. A server that is
+// slowed 5x answers one request in five below Slow itself, because run times
+// vary; a trial in between decides nothing.
+const passShare = 0.67
+
 // Group decides about the servers of one service seen from one node. It is
 // not safe for concurrent use; routing.Table guards it with its mutex.
 type Group struct {
@@ -32,7 +37,7 @@
 	r.samples++
 	if ratio < g.Slow {
 		r.slow = 0
-		g.passTrial(r, now)
+		g.passTrial(r, ratio < passShare*g.Slow, now)
 		return false
 	}
 	r.slow++
@@ -115,12 +120,14 @@
 	r.tried = time.Time{}
 }
 
-func (g *Group) passTrial(r *Record, now time.Time) {
+func (g *Group) passTrial(r *Record, good bool, now time.Time) {
 	if r.State(now) != Trial || r.tried.IsZero() {
 		return
 	}
-	r.passed++
 	r.tried = time.Time{}
+	if good {
+		r.passed++
+	}
 	if r.passed < g.Trials {
 		return
 	}
