Remember slow servers for longer than the measuring window

Cause: when a server's loads lie, the measured run time fades within 100 ms after the node stops using it, and it is used again at full rate. Change: a usual run time, learnt above twice the median and fading in 0.6 s, is the prior of the measurement.

--- a/pkg/routing/entry.go
+++ b/pkg/routing/entry.go
@@ -38,8 +38,10 @@
 	// sent is the number of own requests in flight since the newest report, at
 	// most own.
 	sent int
-	// pace measures the latency of own requests.
-	pace pace
+	// pace measures the latency of own requests; usual is the run time derived
+	// from it over a longer time, in nanoseconds, 0 before the first answer.
+	pace  pace
+	usual float64
 	// told is the run time in nanoseconds that the far node reports; 0 means
 	// unknown.
 	told float64
@@ -89,7 +91,11 @@
 // latency without link and expected wait.
 func (e *entry) measured(p *pool, load float64, at time.Duration) float64 {
 	other := float64(e.link) + e.wait(p, load)
-	return e.pace.estimate(e.own, p.median+other, at) - other
+	prior := e.usual
+	if prior == 0 {
+		prior = p.median
+	}
+	return e.pace.estimate(e.own, prior+other, at) - other
 }
 
 // expected estimates the time to an answer in nanoseconds.
--- a/pkg/routing/observe.go
+++ b/pkg/routing/observe.go
@@ -5,6 +5,11 @@
 const (
 	// gain is the weight of one request in the share of failures.
 	gain = 0.2
+	// usualGain is the weight of one answer in the usual run time.
+	usualGain = 0.1
+	// usualFrom is the multiple of the median from which a measured run time
+	// counts in the usual one: below it, a queue explains it as well.
+	usualFrom = 2
 	// penalty is the time that a failure costs, as a multiple of the median
 	// run time: a server that fails fast must not look idle.
 	penalty = 10
@@ -31,6 +36,7 @@
 		e.failing -= gain * e.failing
 		e.sampled = at
 		e.pace.ended++
+		e.learn(p, at)
 		run := float64(latency-e.link) - e.wait(p, e.load(p, at))
 		if serving {
 			run = max(e.measured(p, e.load(p, at), at), e.told)
@@ -53,6 +59,18 @@
 	p.track(e, serving)
 }
 
+// learn moves the usual run time towards the measured one.
+func (e *entry) learn(p *pool, at time.Duration) {
+	if e.usual == 0 {
+		e.usual = p.median
+	}
+	run := e.measured(p, e.load(p, at), at)
+	if run < usualFrom*p.median {
+		run = p.median
+	}
+	e.usual += usualGain * (run - e.usual)
+}
+
 // track keeps the list of servers that are out.
 func (p *pool) track(e *entry, was bool) {
 	switch is := e.health.Serving(); {
@@ -72,7 +90,7 @@
 			break
 		}
 	}
-	e.pace, e.told, e.failing = pace{at: p.at}, 0, 0
+	e.pace, e.usual, e.told, e.failing = pace{at: p.at}, 0, 0, 0
 }
 
 // wait is the expected wait in the queue of a server with the load.
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -139,6 +139,7 @@
 		return
 	}
 	e.told += (p.median - e.told) / 16
+	e.usual += (p.median - e.usual) / 64
 	e.failing -= e.failing / 16
 }
 
