Hedge requests to suspect servers first

Cause: hedges after the p98 came too late for requests whose server became slow after they were sent; and a trial that a hedge overtook was canceled, which allowed the next trial at once, so slow servers got a stream of trials. Ruled out: hedging everything after the p95 (over 2 % extra load). Change: Table.Suspect; the experiment hedges requests to suspect servers after the class's p95 and the others after the p98, with a reserve of the budget for the first; a trial given up late counts as failed.

--- a/internal/experiment/hedge.go
+++ b/internal/experiment/hedge.go
@@ -8,45 +8,57 @@
 const (
 	// hedgeShare is the largest share of extra requests.
 	hedgeShare = 0.02
-	// hedgeQuantile is the latency quantile after which a request is hedged.
-	// It lies above the class's p95, so that the budget lasts for all requests
-	// that pass it.
-	hedgeQuantile = 0.983
-	// hedgeStep is the relative step of the quantile's estimate.
+	// hedgeEarly is the latency quantile after which a request to a suspect
+	// server is hedged, hedgeLate the one for any other server. The second
+	// lies above the class's p95, so that the budget lasts.
+	hedgeEarly, hedgeLate = 0.95, 0.98
+	// hedgeStep is the relative step of the quantiles' estimates.
 	hedgeStep = 0.02
-	// hedgeBurst bounds the saved budget, in requests.
-	hedgeBurst = 20
+	// hedgeBurst bounds the saved budget, in requests; hedgeReserve is kept
+	// for requests to suspect servers.
+	hedgeBurst, hedgeReserve = 20, 5
 )
 
 // hedger decides about second attempts of idempotent requests. It has the
 // rule of pkg/retry, which is not in this branch yet: after the class's p95,
 // at most 2 % extra load.
 type hedger struct {
-	w *world
-	// after is the estimated quantile for each entry, in nanoseconds.
-	after  []float64
-	tokens []float64
+	w           *world
+	early, late []quantileEstimate
+	tokens      []float64
+}
+
+// quantileEstimate tracks a quantile of latencies, in nanoseconds.
+type quantileEstimate float64
+
+func (q *quantileEstimate) learn(latency time.Duration, quantile float64) {
+	step := -hedgeStep * (1 - quantile)
+	if float64(latency) > float64(*q) {
+		step = hedgeStep * quantile
+	}
+	*q *= quantileEstimate(math.Exp(step))
 }
 
 func newHedger(w *world) *hedger {
-	h := &hedger{w: w, after: make([]float64, w.dep.Servers), tokens: make([]float64, w.dep.Servers)}
-	for i := range h.after {
-		h.after[i] = 3 * float64(meanService)
+	n := w.dep.Servers
+	h := &hedger{w: w, early: make([]quantileEstimate, n), late: make([]quantileEstimate, n), tokens: make([]float64, n)}
+	for i := range h.tokens {
+		h.early[i] = quantileEstimate(2 * meanService)
+		h.late[i] = quantileEstimate(3 * meanService)
 	}
 	return h
 }
 
-// learn moves the estimate of the quantile towards a latency. A hedged
-// request counts with its latency after hedging.
+// learn takes in the latency of an idempotent request. A hedged one counts
+// with its latency after hedging.
 func (h *hedger) learn(r *request, latency time.Duration) {
-	if float64(latency) > h.after[r.entry] {
-		h.after[r.entry] *= math.Exp(hedgeStep * hedgeQuantile)
-	} else {
-		h.after[r.entry] *= math.Exp(-hedgeStep * (1 - hedgeQuantile))
+	if r.idempotent {
+		h.early[r.entry].learn(latency, hedgeEarly)
+		h.late[r.entry].learn(latency, hedgeLate)
 	}
 }
 
-// watch starts the timer of an idempotent request.
+// watch starts the timers of an idempotent request.
 func (h *hedger) watch(r *request) {
 	if !h.w.opt.Hedge {
 		return
@@ -55,11 +67,22 @@
 	if !r.idempotent {
 		return
 	}
-	h.w.after(time.Duration(h.after[r.entry]), func() { h.due(r) })
+	early, late := time.Duration(h.early[r.entry]), time.Duration(h.late[r.entry])
+	h.w.after(early, func() { h.due(r, math.Inf(1)) })
+	h.w.after(max(late, early), func() { h.due(r, 1+hedgeReserve) })
+	h.w.after(2*max(late, early), func() { h.due(r, 1+hedgeReserve) })
 }
 
-func (h *hedger) due(r *request) {
-	if r.done || len(r.open) != 1 || r.retried || h.tokens[r.entry] < 1 {
+// due hedges the request if its server is suspect or if the entry has saved
+// enough budget.
+func (h *hedger) due(r *request, enough float64) {
+	if r.done || len(r.open) != 1 || len(r.tried) > 1 {
+		return
+	}
+	if h.w.policy.suspect(r.entry, r.open[0].s.index) {
+		enough = 1
+	}
+	if h.tokens[r.entry] < enough {
 		return
 	}
 	h.tokens[r.entry]--
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -18,6 +18,8 @@
 	// reported takes in a periodic report; reports tells whether they are sent.
 	reported(entry, server int, l routing.Load)
 	reports() bool
+	// suspect reports whether the entry doubts the server.
+	suspect(entry, server int) bool
 	tick()
 }
 
@@ -57,6 +59,7 @@
 func (base) loaded(int, int, routing.Load)                 {}
 func (base) reported(int, int, routing.Load)               {}
 func (base) reports() bool                                 { return false }
+func (base) suspect(int, int) bool                         { return false }
 func (base) tick()                                         {}
 
 // usable reports whether the request may go to the server: it was not tried
--- a/internal/experiment/tables.go
+++ b/internal/experiment/tables.go
@@ -65,6 +65,10 @@
 	p.of[entry].Observe(service, p.w.servers[i].ID, l, p.w.time())
 }
 
+func (p *tables) suspect(entry, i int) bool {
+	return p.of[entry].Suspect(service, p.w.servers[i].ID, p.w.time())
+}
+
 func (p *tables) tick() {
 	for _, t := range p.of {
 		t.Tick(p.w.time())
--- a/pkg/outlier/group.go
+++ b/pkg/outlier/group.go
@@ -73,8 +73,19 @@
 // BeginTrial records that a trial request is sent.
 func (g *Group) BeginTrial(r *Record, now time.Time) { r.tried = now }
 
-// CancelTrial records that the trial request ended without a result.
-func (g *Group) CancelTrial(r *Record) { r.tried = time.Time{} }
+// Canceled records that a request was given up after ratio times the latency
+// of the peers. A trial that was given up late fails: it was hedged because it
+// took long. An earlier one decides nothing.
+func (g *Group) Canceled(r *Record, ratio float64, now time.Time) {
+	g.prepare()
+	if r.State(now) != Trial || r.tried.IsZero() {
+		return
+	}
+	r.tried = time.Time{}
+	if ratio >= passShare*g.Slow {
+		g.sendOut(r, CauseSlow, now)
+	}
+}
 
 // Forget takes a removed server out of the count.
 func (g *Group) Forget(r *Record) {
--- a/pkg/outlier/group_test.go
+++ b/pkg/outlier/group_test.go
@@ -40,6 +40,8 @@
 		switch o {
 		case 'f':
 			g.Failed(r, now)
+		case 'c':
+			g.Canceled(r, 2.5, now)
 		case 's':
 			g.Answered(r, 5, now)
 		default:
@@ -86,6 +88,10 @@
 	trial("s", outlier.Ejected)
 	assert.Equal(t, r.Until(), now.Add(200*time.Millisecond))
 	now = r.Until()
+	// A trial that a hedge overtook fails; otherwise the next one would follow
+	// at once.
+	trial("c", outlier.Ejected)
+	now = r.Until()
 	trial(".", outlier.Trial)
 	trial(".", outlier.Serving)
 	assert.Equal(t, g.Out(), 0)
--- a/pkg/routing/observe.go
+++ b/pkg/routing/observe.go
@@ -52,9 +52,9 @@
 	case Refused:
 		e.heard = at
 		e.refusing = at + refusal
-		p.group.CancelTrial(&e.health)
+		p.group.Canceled(&e.health, 0, now)
 	case Canceled:
-		p.group.CancelTrial(&e.health)
+		p.group.Canceled(&e.health, float64(latency-e.link)/p.median, now)
 	}
 	p.track(e, serving)
 }
@@ -99,6 +99,19 @@
 	return over / e.slots * max(e.told, p.median)
 }
 
+// Suspect reports whether a server now looks slower than its peers or is
+// ejected. A request that waits there for long is worth a hedge.
+func (t *Table) Suspect(service, id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, e := t.find(service, id)
+	if e == nil {
+		return false
+	}
+	at := t.prepare(now)
+	return !e.health.Serving() || e.runTime(p, e.load(p, at), at) > p.median
+}
+
 // Observe takes in the load that an answer or a probe carried.
 func (t *Table) Observe(service, id string, l Load, now time.Time) {
 	t.mu.Lock()
