--- a/internal/experiment/placement/main.go
+++ b/internal/experiment/placement/main.go
@@ -20,10 +20,9 @@
 	seed := flag.Uint64("seed", 1, "seed")
 	length := flag.Duration("length", 5*time.Second, "measured time")
 	budget := flag.Float64("budget", 0, "bytes a second of measuring over region links for each node")
-	threshold := flag.Float64("threshold", 0, "threshold of Legros and Jouini; 0 turns it off")
 	asJSON := flag.Bool("json", false, "print JSON")
 	flag.Parse()
-	base := experiment.Options{Seed: *seed, Length: *length, Budget: *budget, Threshold: *threshold}
+	base := experiment.Options{Seed: *seed, Length: *length, Budget: *budget}
 	results := runAll(plan(base, *deployments, *cases, *loads, *policies))
 	write := experiment.WriteText
 	if *asJSON {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -20,7 +20,6 @@
 	Seed       uint64  `json:"seed"`
 	Hedge      bool    `json:"hedge,omitempty"`
 	Budget     float64 `json:"budget,omitempty"`
-	Threshold  float64 `json:"threshold,omitempty"`
 	Requests   int     `json:"requests"`
 	P50        float64 `json:"p50"`
 	P99        float64 `json:"p99"`
@@ -49,7 +48,7 @@
 	n := float64(max(len(w.latencies), 1))
 	r := Result{
 		Deployment: w.dep.Name, Case: w.opt.Case.Name, Load: w.opt.Load, Policy: w.opt.Policy,
-		Seed: w.opt.Seed, Hedge: w.opt.Hedge, Budget: w.opt.Budget, Threshold: w.opt.Threshold,
+		Seed: w.opt.Seed, Hedge: w.opt.Hedge, Budget: w.opt.Budget,
 		Requests: len(w.latencies),
 		P50:      quantile(w.latencies, 0.5), P99: quantile(w.latencies, 0.99), P999: quantile(w.latencies, 0.999),
 		Lookup:  quantile(w.lookups, 0.999),
--- a/internal/experiment/tables.go
+++ b/internal/experiment/tables.go
@@ -28,7 +28,6 @@
 		t := &routing.Table{Config: routing.Config{
 			Node: s.ID, Region: s.Region, Domain: s.Domain, Seed: w.opt.Seed,
 			LocalDelay: localDelay, DomainDelay: w.dep.DomainDelay, RegionDelay: w.dep.RegionDelay,
-			Threshold: w.opt.Threshold,
 		}}
 		for _, other := range w.servers {
 			t.Upsert(other.Server, epoch)
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -30,8 +30,6 @@
 	// Budget bounds the bytes a second that a node spends on measuring over
 	// region links; 0 means 1 KB/s.
 	Budget float64
-	// Threshold turns the threshold of Legros and Jouini on.
-	Threshold float64
 }
 
 // world is the state of one run.
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -28,12 +28,8 @@
 	// probed; the default is 1 s.
 	Probe time.Duration
 	// Seed varies the random choices; the node's ID does so too.
-	Seed uint64
-	// Threshold is the wait of Legros and Jouini: a server slower than the
-	// median is left idle until the wait at the best other server exceeds the
-	// threshold times the extra run time; 0 turns the rule off.
-	Threshold float64
-	Outlier   outlier.Config
+	Seed    uint64
+	Outlier outlier.Config
 }
 
 func (c Config) withDefaults() Config {
--- a/pkg/routing/entry.go
+++ b/pkg/routing/entry.go
@@ -102,7 +102,6 @@
 func (e *entry) expected(p *pool, at time.Duration) float64 {
 	load := e.load(p, at)
 	run := e.runTime(p, load, at)
-	run += p.config.Threshold * (run - p.median)
 	slots := e.slots * e.ramp(p.config.SlowStart, at)
 	over := excess(load + 1 - slots)
 	t := float64(e.link) + run + run*over/slots + e.failing*penalty*p.median
