--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -30,8 +30,6 @@
 	// Budget bounds the bytes a second that a node spends on measuring over
 	// region links; 0 means 1 KB/s.
 	Budget float64
-	// Threshold turns the threshold of Legros and Jouini on.
-	Threshold float64
 }
 
 // world is the state of one run.
@@ -58,6 +56,7 @@
 
 	next             uint64
 	latencies        []time.Duration
+	lookups          []time.Duration // latencies of idempotent requests
 	attempts, wasted int
 	hedges           int
 	refused, failed  int
@@ -163,6 +162,9 @@
 		latency = deadline
 	}
 	w.latencies = append(w.latencies, latency)
+	if r.idempotent {
+		w.lookups = append(w.lookups, latency)
+	}
 }
 
 // report sends the periodic load reports of all servers to all entries.
--- a/pkg/routing/observe.go
+++ b/pkg/routing/observe.go
@@ -3,9 +3,13 @@
 import "time"
 
 const (
-	// gain is the weight of one own sample in the measured run time and in
-	// the share of failures.
+	// gain is the weight of one request in the share of failures.
 	gain = 0.2
+	// usualGain is the weight of one answer in the usual run time.
+	usualGain = 0.1
+	// usualFrom is the multiple of the median from which a measured run time
+	// counts in the usual one: below it, a queue explains it as well.
+	usualFrom = 2
 	// penalty is the time that a failure costs, as a multiple of the median
 	// run time: a server that fails fast must not look idle.
 	penalty = 10
@@ -22,6 +26,7 @@
 	}
 	at := t.prepare(now)
 	p.at = at
+	e.pace.advance(e.own, at)
 	e.own = max(e.own-1, 0)
 	e.sent = min(e.sent, e.own)
 	serving := e.health.Serving()
@@ -29,9 +34,12 @@
 	case Answered:
 		e.heard = at
 		e.failing -= gain * e.failing
-		run := e.measure(p, float64(latency), at)
+		e.sampled = at
+		e.pace.ended++
+		e.learn(p, at)
+		run := float64(latency-e.link) - e.wait(p, e.load(p, at))
 		if serving {
-			run = max(e.measured, e.told)
+			run = max(e.measured(p, e.load(p, at), at), e.told)
 		}
 		p.group.Answered(&e.health, run/p.median, now)
 	case Failed, Lost:
@@ -44,14 +52,25 @@
 	case Refused:
 		e.heard = at
 		e.refusing = at + refusal
-		p.group.CancelTrial(&e.health)
+		p.group.Canceled(&e.health, 0, now)
 	case Canceled:
-		e.measureCanceled(p, float64(latency), at)
-		p.group.CancelTrial(&e.health)
+		p.group.Canceled(&e.health, float64(latency-e.link)/p.median, now)
 	}
 	p.track(e, serving)
 }
 
+// learn moves the usual run time towards the measured one.
+func (e *entry) learn(p *pool, at time.Duration) {
+	if e.usual == 0 {
+		e.usual = p.median
+	}
+	run := e.measured(p, e.load(p, at), at)
+	if run < usualFrom*p.median {
+		run = p.median
+	}
+	e.usual += usualGain * (run - e.usual)
+}
+
 // track keeps the list of servers that are out.
 func (p *pool) track(e *entry, was bool) {
 	switch is := e.health.Serving(); {
@@ -71,33 +90,26 @@
 			break
 		}
 	}
-	e.measured, e.told, e.failing = p.median, 0, 0
+	e.pace, e.usual, e.told, e.failing = pace{at: p.at}, 0, 0, 0
 }
 
-// measure takes a sample of the run time, which is the latency without link
-// and expected wait, and returns it.
-func (e *entry) measure(p *pool, latency float64, at time.Duration) float64 {
-	run := max(latency-float64(e.link)-e.wait(p, at), 0)
-	if e.measured == 0 {
-		e.measured = p.median
-	}
-	e.measured += gain * (run - e.measured)
-	e.sampled = at
-	return run
+// wait is the expected wait in the queue of a server with the load.
+func (e *entry) wait(p *pool, load float64) float64 {
+	over := max(load-e.slots, 0)
+	return over / e.slots * max(e.told, p.median)
 }
 
-// measureCanceled takes a sample only from a request that ran longer than
-// expected; a shorter one says nothing.
-func (e *entry) measureCanceled(p *pool, latency float64, at time.Duration) {
-	if latency-float64(e.link)-e.wait(p, at) > max(e.measured, p.median) {
-		e.measure(p, latency, at)
+// Suspect reports whether a server now looks slower than its peers or is
+// ejected. A request that waits there for long is worth a hedge.
+func (t *Table) Suspect(service, id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, e := t.find(service, id)
+	if e == nil {
+		return false
 	}
-}
-
-// wait is the expected wait in the queue of the server.
-func (e *entry) wait(p *pool, at time.Duration) float64 {
-	over := max(e.load(p, at)-e.slots, 0)
-	return over / e.slots * max(e.told, p.median)
+	at := t.prepare(now)
+	return !e.health.Serving() || e.runTime(p, e.load(p, at), at) > p.median
 }
 
 // Observe takes in the load that an answer or a probe carried.
