Record every decision of a node in a ring of 4,096 entries

Ruled out: recording a decision when it ends, because a request that hangs would then not show at all; one slice entry a request with all its attempts, because the number of attempts is not fixed.

Change: internal/evidence has Ring with fixed-size entries. entry.go records each send before it takes effect and ends the record with outcome and latency; far.go records its refusals with the server's load.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/evidence"
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/routing"
@@ -33,6 +34,7 @@
 // safe and within the allowance.
 type entry struct {
 	common
+	journal
 	routes  *routing.Table
 	peers   directory
 	forward forwarder
@@ -44,6 +46,7 @@
 type attempt struct {
 	choice routing.Choice
 	start  time.Time
+	step   evidence.Step
 }
 
 // Serve implements call.Server.
@@ -54,8 +57,9 @@
 	var tried []string
 	handovers := 0
 	var last error
+	action := evidence.Place
 	for range maxAttempts {
-		a, ok := e.choose(r, tried)
+		a, ok := e.choose(r, tried, action)
 		if !ok {
 			return nil, e.nobody(r, last)
 		}
@@ -65,6 +69,7 @@
 			return answer, nil
 		}
 		tried = append(tried, a.choice.ID)
+		action = evidence.Retry
 		if err == nil {
 			if r.Allowance == 0 || ctx.Err() != nil {
 				return answer, nil
@@ -81,6 +86,7 @@
 			return nil, f
 		case f.Outcome == fault.Refused && handovers < maxHandovers && mayHandOver(f):
 			handovers++
+			action = evidence.Handover
 		case f.Outcome == fault.Unknown && r.Idempotent && r.Allowance > 0 && f.Kind != fault.KindDeadline:
 			r.Allowance--
 		default:
@@ -109,12 +115,15 @@
 	}
 }
 
-func (e *entry) choose(r call.Request, tried []string) (attempt, bool) {
+func (e *entry) choose(r call.Request, tried []string, action evidence.Action) (attempt, bool) {
 	now := time.Now()
 	choice, ok := e.routes.Pick(routing.Request{
 		Service: r.Service, Class: r.Class, Tenant: r.Tenant, Exclude: tried, Idempotent: r.Idempotent,
 	}, now)
-	return attempt{choice: choice, start: now}, ok
+	if !ok {
+		return attempt{}, false
+	}
+	return attempt{choice: choice, start: now, step: e.placed(r, action, choice, now)}, true
 }
 
 // nobody is the error when no server is left to try.
@@ -122,19 +131,22 @@
 	if last != nil {
 		return last
 	}
+	err := fault.New(fault.KindNoServer, "no backend server of service %q can take the request", r.Service)
 	if len(e.routes.Snapshot(r.Service)) == 0 {
-		return fault.New(fault.KindUnknownService, "no backend server of service %q is known", r.Service)
+		err = fault.New(fault.KindUnknownService, "no backend server of service %q is known", r.Service)
 	}
-	return fault.New(fault.KindNoServer, "no backend server of service %q can take the request", r.Service)
+	return e.refused(r, call.Load{}, "", err)
 }
 
 func (e *entry) send(ctx context.Context, a attempt, r call.Request) (*call.Answer, error) {
 	answer, err := e.sendTo(ctx, a.choice.ID, r)
+	took := time.Since(a.start)
 	if err != nil {
-		e.routes.Done(r.Service, a.choice.ID, outcomeOf(ctx, err), time.Since(a.start), time.Now())
+		outcome := outcomeOf(ctx, err)
+		e.routes.Done(r.Service, a.choice.ID, outcome, took, time.Now())
+		e.ended(a.step, outcome, err, took)
 		return nil, err
 	}
-	took := time.Since(a.start)
 	e.routes.Observe(r.Service, a.choice.ID, routing.Load{
 		InFlight: answer.Load.InFlight, Queued: answer.Load.Queued, Slots: answer.Load.Slots,
 		Latency: answer.Load.Latency, Refusing: answer.Load.Draining,
@@ -143,6 +155,7 @@
 	if answer.Status >= http.StatusInternalServerError {
 		outcome = routing.Failed
 	}
+	e.ended(a.step, outcome, nil, took)
 	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() {
 		e.routes.Done(r.Service, a.choice.ID, outcome, took, time.Now())
 	}}
--- a/internal/daemon/far.go
+++ b/internal/daemon/far.go
@@ -17,6 +17,7 @@
 // server's requests in flight exactly.
 type far struct {
 	common
+	journal
 	local  *localServer
 	gate   *gate
 	client backend.Client
@@ -31,20 +32,20 @@
 // Serve implements call.Server.
 func (f *far) Serve(ctx context.Context, r call.Request) (*call.Answer, error) {
 	if _, err := f.ready(r); err != nil {
-		return nil, err
+		return nil, f.refused(r, f.load(), f.ID, err)
 	}
 	fingerprint := r.Fingerprint()
 	if err := f.crash.check(ctx, fingerprint, time.Now()); err != nil {
-		return nil, err
+		return nil, f.refused(r, f.load(), f.ID, err)
 	}
 	leave, err := f.gate.enter(ctx, r)
 	if err != nil {
-		return nil, fault.As(err)
+		return nil, f.refused(r, f.load(), f.ID, fault.As(err))
 	}
 	server, err := f.ready(r)
 	if err != nil {
 		leave(false)
-		return nil, err
+		return nil, f.refused(r, f.load(), f.ID, err)
 	}
 	f.crash.begin(fingerprint)
 	answer, err := f.send(ctx, server.Addr, r)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -33,6 +33,7 @@
 	callers   caller.Server
 	announce  http1.Server
 	operators operators
+	observed  observation
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -64,11 +65,12 @@
 func (n *Node) assemble() error {
 	shared := common{Options: &n.Options}
 	n.routes.Config = routing.Config{Node: n.ID, Region: n.Region, Domain: n.Domain}
-	n.far = far{common: shared, local: &n.local, gate: &n.gate}
+	n.observed.common = shared
+	n.far = far{common: shared, journal: journal{&n.observed}, local: &n.local, gate: &n.gate}
 	n.members.common, n.members.routes = shared, &n.routes
 	n.config.common, n.config.members, n.config.node = shared, &n.members, &n.peers
 	n.config.start()
-	n.entry = entry{common: shared, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, retries: &retries{}}
+	n.entry = entry{common: shared, journal: journal{&n.observed}, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, retries: &retries{}}
 	n.peers.ID, n.peers.MaxBody, n.peers.Credentials = n.ID, n.MaxBody, n.Credentials
 	n.peers.Calls = &n.far
 	n.peers.Controls = make(map[string]node.ControlFunc)
--- /dev/null
+++ b/internal/evidence/ring.go
@@ -0,0 +1,63 @@
+package evidence
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// Kept is the number of decisions that a node keeps.
+const Kept = 4096
+
+// Step names a decision in a ring. The zero value names none.
+type Step uint64
+
+// Ring keeps the newest decisions. The zero value is an empty ring that
+// allocates its entries with the first decision.
+type Ring struct {
+	mu sync.Mutex
+	// entries has Kept entries; the decision of step s is at (s-1) mod Kept.
+	entries []Decision
+	// last is the newest step, and the number of decisions ever recorded.
+	last Step
+}
+
+// Begin records a decision; the oldest one is overwritten when the ring is full.
+func (r *Ring) Begin(d Decision) Step {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.entries == nil {
+		r.entries = make([]Decision, Kept)
+	}
+	r.last++
+	*r.at(r.last) = d
+	return r.last
+}
+
+// End records how a decision ended. A decision that was overwritten since is
+// left alone.
+func (r *Ring) End(s Step, result Result, kind fault.Kind, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s == 0 || s > r.last || r.last-s >= Kept {
+		return
+	}
+	d := r.at(s)
+	d.Result, d.Kind, d.Latency = result, kind, latency
+}
+
+func (r *Ring) at(s Step) *Decision { return &r.entries[(s-1)%Kept] }
+
+// Recent returns up to n decisions that match, newest first.
+func (r *Ring) Recent(n int, match func(*Decision) bool) []Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Decision
+	for s := r.last; s > 0 && r.last-s < Kept && len(found) < n; s-- {
+		if d := r.at(s); match == nil || match(d) {
+			found = append(found, *d)
+		}
+	}
+	return found
+}
