Add metrics of a node: histograms, counters, history and text export

Change: metrics.Registry (go-metrics, HdrHistogram) implements caller.Observer; Handler encodes it with prometheus/client_golang and reads the measuring counters from budget.Limiter; History cuts the figures every 10 s and at each new configuration version, packs them and keeps an hour or 4 MB. budget.Key tells its regions. fault.As returns a typed error without errors.As, whose target allocates on every call.

Conclusion: metrics are ready to be wired into the daemon.

--- /dev/null
+++ b/internal/metrics/figures.go
@@ -0,0 +1,131 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Figures are what was counted in one span of time.
+type Figures struct {
+	Latency  []Latency   `msgpack:"l"`
+	Refusals []Refusal   `msgpack:"r"`
+	Links    []LinkBytes `msgpack:"n"`
+}
+
+// Latency is one packed histogram.
+type Latency struct {
+	Label  `msgpack:",inline"`
+	Counts []byte `msgpack:"h"`
+}
+
+// Refusal counts refused requests of one kind.
+type Refusal struct {
+	Label `msgpack:",inline"`
+	Kind  string `msgpack:"k"`
+	Count int64  `msgpack:"n"`
+}
+
+// LinkBytes counts bytes of measuring from one region to another.
+type LinkBytes struct {
+	From  string `msgpack:"f"`
+	To    string `msgpack:"t"`
+	Bytes int64  `msgpack:"b"`
+}
+
+// size estimates the memory of the figures in bytes.
+func (f Figures) size() int {
+	const label, link, refusal = 96, 48, 80
+	n := len(f.Links)*link + len(f.Refusals)*refusal
+	for _, l := range f.Latency {
+		n += label + cap(l.Counts)
+	}
+	return n
+}
+
+// maxSummed bounds the labels of a Sum: each takes 17 KB while it is made.
+const maxSummed = maxSeries
+
+// Sum adds figures up. The zero value is empty.
+type Sum struct {
+	latency  map[Label][]int64
+	refusals map[refusalKey]int64
+	links    map[[2]string]int64
+}
+
+type refusalKey struct {
+	Label
+	kind string
+}
+
+// Add adds figures of an interval or of another node.
+func (s *Sum) Add(f Figures) {
+	if s.latency == nil {
+		s.latency, s.refusals, s.links = make(map[Label][]int64), make(map[refusalKey]int64), make(map[[2]string]int64)
+	}
+	for _, l := range f.Latency {
+		unpack(s.counts(l.Label), l.Counts)
+	}
+	for _, r := range f.Refusals {
+		key := refusalKey{r.Label, r.Kind}
+		if _, known := s.refusals[key]; !known && len(s.refusals) >= maxSummed {
+			key.Label = Label{Other, Other, Other}
+		}
+		s.refusals[key] += r.Count
+	}
+	for _, l := range f.Links {
+		s.links[[2]string{l.From, l.To}] += l.Bytes
+	}
+}
+
+func (s *Sum) counts(l Label) []int64 {
+	if c := s.latency[l]; c != nil {
+		return c
+	}
+	if len(s.latency) >= maxSummed-1 {
+		l = Label{Other, Other, Other}
+	}
+	if s.latency[l] == nil {
+		s.latency[l] = emptyCounts()
+	}
+	return s.latency[l]
+}
+
+// Figures returns the sums, packed.
+func (s *Sum) Figures() Figures {
+	var f Figures
+	for label, counts := range s.latency {
+		f.Latency = append(f.Latency, Latency{label, pack(counts)})
+	}
+	for key, n := range s.refusals {
+		f.Refusals = append(f.Refusals, Refusal{key.Label, key.kind, n})
+	}
+	for link, bytes := range s.links {
+		f.Links = append(f.Links, LinkBytes{link[0], link[1], bytes})
+	}
+	return f
+}
+
+// Histograms returns the histograms by label, in microseconds.
+func (s *Sum) Histograms() map[Label]*hdrhistogram.Histogram {
+	all := make(map[Label]*hdrhistogram.Histogram, len(s.latency))
+	for label, counts := range s.latency {
+		all[label] = fromCounts(counts)
+	}
+	return all
+}
+
+// Window is what one node measured in a span of time. Its ends are ages at the
+// time of the answer, because wall clocks of nodes differ.
+type Window struct {
+	From    time.Duration `msgpack:"f"`
+	To      time.Duration `msgpack:"t"`
+	Figures `msgpack:",inline"`
+}
+
+// Windows are before and after one configuration version; nil means that the
+// node measured nothing in that time.
+type Windows struct {
+	Before *Window `msgpack:"b"`
+	After  *Window `msgpack:"a"`
+}
--- /dev/null
+++ b/internal/metrics/history.go
@@ -0,0 +1,129 @@
+package metrics
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vanillasail/vanillasail/pkg/budget"
+)
+
+const (
+	// interval is how often the figures are cut; a new configuration version
+	// cuts them at once, so that no interval covers two versions.
+	interval = 10 * time.Second
+	// kept is how long intervals are kept, if maxHistory allows.
+	kept = time.Hour
+	// maxHistory bounds the memory of the kept intervals; the oldest ones go
+	// first. 30 busy labels fill an hour of it.
+	maxHistory = 4 << 20
+	// spanSize is the memory of an interval without figures.
+	spanSize = 200
+	// maxWindow bounds the time before and after a change that a report covers.
+	maxWindow = 10 * time.Minute
+)
+
+// History keeps the figures of the last hour in intervals. Set the exported
+// fields before Tick.
+type History struct {
+	// Registry and Limits are never nil.
+	Registry *Registry
+	Limits   *budget.Limiter
+
+	mu        sync.Mutex
+	intervals []span
+	size      int
+	// since and version describe the running interval; since is zero before
+	// the first Tick.
+	since   time.Time
+	version uint64
+	// links holds the bytes of each link at the last cut.
+	links map[budget.Key]int64
+}
+
+// span is one interval. Its times carry a monotonic reading.
+type span struct {
+	from, to time.Time
+	version  uint64
+	Figures
+}
+
+// Tick ends the running interval when it is due or when another configuration
+// version has come into force.
+func (h *History) Tick(now time.Time, version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.since.IsZero() {
+		h.since, h.version, h.links = now, version, make(map[budget.Key]int64)
+	}
+	if version != h.version || now.Sub(h.since) >= interval {
+		h.cut(now)
+		h.version = version
+	}
+}
+
+func (h *History) cut(now time.Time) {
+	s := span{from: h.since, to: now, version: h.version, Figures: h.Registry.cut()}
+	for _, key := range h.Limits.Keys(nil) {
+		if !key.IsLink() {
+			continue
+		}
+		spent, _ := h.Limits.Counters(key).Total()
+		total := int64(spent.Bytes)
+		// A key that was idle for long starts again at zero.
+		if n := total - min(h.links[key], total); n > 0 {
+			from, to := key.Regions()
+			s.Links = append(s.Links, LinkBytes{from, to, n})
+		}
+		h.links[key] = total
+	}
+	h.since = now
+	h.intervals = append(h.intervals, s)
+	h.size += spanSize + s.size()
+	h.forget(now)
+}
+
+func (h *History) forget(now time.Time) {
+	for len(h.intervals) > 0 && (h.size > maxHistory || now.Sub(h.intervals[0].to) > kept) {
+		h.size -= spanSize + h.intervals[0].size()
+		h.intervals[0] = span{}
+		h.intervals = h.intervals[1:]
+	}
+}
+
+// Around returns the windows before and after the version came into force. The
+// window before holds only the version that it was based on, and the one after
+// only the version itself, so that another change does not distort them.
+func (h *History) Around(now time.Time, version uint64) Windows {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.since.IsZero() && now.After(h.since) {
+		h.cut(now)
+	}
+	var before, after []span
+	for _, s := range h.intervals {
+		switch s.version {
+		case version - 1:
+			before = append(before, s)
+		case version:
+			after = append(after, s)
+		}
+	}
+	for len(before) > 0 && before[len(before)-1].to.Sub(before[0].from) > maxWindow {
+		before = before[1:]
+	}
+	for len(after) > 0 && after[len(after)-1].to.Sub(after[0].from) > maxWindow {
+		after = after[:len(after)-1]
+	}
+	return Windows{Before: sumUp(before, now), After: sumUp(after, now)}
+}
+
+func sumUp(spans []span, now time.Time) *Window {
+	if len(spans) == 0 {
+		return nil
+	}
+	var sum Sum
+	for _, s := range spans {
+		sum.Add(s.Figures)
+	}
+	return &Window{From: now.Sub(spans[0].from), To: now.Sub(spans[len(spans)-1].to), Figures: sum.Figures()}
+}
--- /dev/null
+++ b/internal/metrics/series.go
@@ -0,0 +1,74 @@
+package metrics
+
+import (
+	"maps"
+	"sync"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// Label names the requests that a figure is about.
+type Label struct {
+	Service string `msgpack:"s"`
+	Class   string `msgpack:"c"`
+	Tenant  string `msgpack:"t"`
+}
+
+// Other replaces labels over the bounds.
+const Other = "other"
+
+// series holds the figures of one label.
+type series struct {
+	Label
+	registry gometrics.Registry
+	latency  histogram
+	// outcomes counts requests by fault.Outcome.
+	outcomes [fault.Ran + 1]*counter
+
+	mu sync.Mutex
+	// refused has one counter for each kind seen.
+	refused map[fault.Kind]*counter
+	// reported holds the counts at the last cut.
+	reported map[fault.Kind]int64
+}
+
+func newSeries(l Label, registry gometrics.Registry) *series {
+	s := &series{Label: l, registry: registry, refused: make(map[fault.Kind]*counter), reported: make(map[fault.Kind]int64)}
+	s.latency.interval = newHDR()
+	s.latency.described = described{familyLatency, []string{l.Service, l.Class, l.Tenant}}
+	_ = registry.Register(s.latency.name(), &s.latency)
+	for o := range s.outcomes {
+		s.outcomes[o] = newCounter(registry, familyRequests, l.Service, l.Class, l.Tenant, fault.Outcome(o).String())
+	}
+	return s
+}
+
+func (s *series) refuse(kind fault.Kind) {
+	s.mu.Lock()
+	c := s.refused[kind]
+	if c == nil {
+		c = newCounter(s.registry, familyRefusals, s.Service, s.Class, s.Tenant, string(kind))
+		s.refused[kind] = c
+	}
+	s.mu.Unlock()
+	c.Inc(1)
+}
+
+// cut adds the figures since the last cut.
+func (s *series) cut(f *Figures) {
+	if packed := s.latency.cut(); packed != nil {
+		f.Latency = append(f.Latency, Latency{s.Label, packed})
+	}
+	s.mu.Lock()
+	refused := maps.Clone(s.refused)
+	s.mu.Unlock()
+	for kind, c := range refused {
+		total := c.Count()
+		if n := total - s.reported[kind]; n > 0 {
+			f.Refusals = append(f.Refusals, Refusal{s.Label, string(kind), n})
+		}
+		s.reported[kind] = total
+	}
+}
--- a/pkg/budget/key.go
+++ b/pkg/budget/key.go
@@ -59,6 +59,9 @@
 // IsLink reports whether the key names a pair of regions.
 func (k Key) IsLink() bool { return k.link }
 
+// Regions returns the pair of regions of a link.
+func (k Key) Regions() (from, to string) { return k.from, k.to }
+
 func (k Key) unlimited() bool { return k.link && k.from == k.to }
 
 // Rate is a budget for each second. The zero Rate allows nothing.
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -119,6 +119,10 @@
 // As returns err as a typed error. Any other error becomes an internal error
 // with an unknown outcome.
 func As(err error) *Error {
+	// errors.As allocates; on the request path nearly all errors are typed.
+	if e, ok := err.(*Error); ok {
+		return e
+	}
 	var e *Error
 	if errors.As(err, &e) {
 		return e
