Explain requests and measure changes over all nodes; export /metrics

Cause: explain, show decisions and report said "this node has no decisions" or "no reports", and nothing could be scraped.

Members known to be dead or unreachable are named without being asked. operator.Candidate now holds what placement compares (own requests, load, expected time, age).

--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -1,11 +1,15 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/evidence"
+	"github.com/vanillasail/vanillasail/internal/metrics"
+	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/member"
 	"github.com/vanillasail/vanillasail/pkg/routing"
 )
 
@@ -61,18 +65,79 @@
 	return err
 }
 
-// observation is the evidence of one node: its decisions.
+// observation is the evidence of one node: its decisions, metrics and their
+// history.
 type observation struct {
 	common
-	ring evidence.Ring
+	ring      evidence.Ring
+	metrics   metrics.Registry
+	history   metrics.History
+	decisions evidence.Decisions
+	reports   evidence.Reports
+	members   *membership
+	node      *node.Transport
 }
 
 var _ recorder = (*observation)(nil)
 
+// assemble connects the evidence to the other parts of the node.
+func (o *observation) assemble(n *Node) {
+	o.members, o.node = &n.members, &n.peers
+	o.history.Registry, o.history.Limits = &o.metrics, &n.limits
+	o.decisions = evidence.Decisions{Node: n.ID, Ring: &o.ring, Nodes: o}
+	o.reports = evidence.Reports{History: &o.history, Nodes: o}
+	n.peers.Controls[evidence.KindExplain] = o.decisions.Answer
+	n.peers.Controls[evidence.KindMeasure] = o.reports.Answer
+	n.callers.Observer = &o.metrics
+	o.metrics.Gauge(metrics.ServerRequests, func() int64 { return int64(n.gate.load().InFlight) }, "running")
+	o.metrics.Gauge(metrics.ServerRequests, func() int64 { return int64(n.gate.load().Queued) }, "queued")
+	o.metrics.Gauge(metrics.ServerSlots, func() int64 { return int64(n.gate.load().Slots) })
+	o.metrics.Gauge(metrics.PeerLinks, func() int64 { return int64(n.peers.Links()) })
+	o.metrics.Gauge(metrics.Members, func() int64 { return int64(n.members.protocol.Table().Len()) })
+	o.metrics.Gauge(metrics.ConfigVersion, func() int64 { return int64(n.config.Version()) })
+	for i, state := range [...]string{"open", "busy"} {
+		o.metrics.Gauge(metrics.CallerConnections, func() int64 {
+			open, busy := n.callers.Conns()
+			return int64([...]int{open, busy}[i])
+		}, state)
+	}
+}
+
 // Begin implements recorder.
-func (o *observation) Begin(d evidence.Decision) evidence.Step { return o.ring.Begin(d) }
+func (o *observation) Begin(d evidence.Decision) evidence.Step {
+	service := d.Service
+	if d.Kind == fault.KindUnknownService {
+		// The name comes from a caller and is no service.
+		service = metrics.Other
+	}
+	o.metrics.Acted(service, d.Action.String())
+	return o.ring.Begin(d)
+}
 
 // End implements recorder.
 func (o *observation) End(s evidence.Step, result evidence.Result, kind fault.Kind, latency time.Duration) {
 	o.ring.End(s, result, kind, latency)
 }
+
+// Others implements evidence.Nodes.
+func (o *observation) Others() (reachable, unreachable []string) {
+	for _, m := range o.members.protocol.Table().Members() {
+		switch {
+		case m.ID == o.ID:
+		case m.State == member.StateDead || m.State == member.StateUnreachable:
+			unreachable = append(unreachable, m.ID)
+		default:
+			reachable = append(reachable, m.ID)
+		}
+	}
+	return reachable, unreachable
+}
+
+// Ask implements evidence.Nodes.
+func (o *observation) Ask(ctx context.Context, id, kind string, body []byte) ([]byte, error) {
+	peer, ok := o.members.peer(id)
+	if !ok {
+		return nil, fault.New(fault.KindUnreachable, "the address of node %s is not known", id)
+	}
+	return o.node.Control(ctx, peer, kind, body)
+}
--- /dev/null
+++ b/internal/daemon/evidence_test.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/vanillasail/vanillasail/internal/operator"
+)
+
+// operate runs a command at the operator address of node i.
+func (c *cluster) operate(t *testing.T, i int, command string) (string, error) {
+	t.Helper()
+	key, err := operator.SecretKey("settings", []byte(c.nodes[i].TokenSecret))
+	assert.NilError(t, err)
+	token, err := key.Sign(operator.Identity{Name: "ana", Role: operator.RoleOperator}, time.Now(), time.Hour)
+	assert.NilError(t, err)
+	client := operator.Client{Nodes: []string{"http://" + c.nodes[i].OperatorAddr()}, Token: token}
+	return client.Run(context.Background(), command)
+}
+
+func (c *cluster) get(t *testing.T, i int, id string) int {
+	t.Helper()
+	response, _, err := c.call(context.Background(), i, http.MethodGet, "/stock/item", http.Header{"Request-Id": {id}}, nil)
+	assert.NilError(t, err)
+	return response.StatusCode
+}
+
+// Guards against an explanation that knows only the node that is asked, hides a
+// node that did not answer, or lacks the numbers of a decision.
+func TestExplainAsksAllNodes(t *testing.T) {
+	c := startCluster(t, 4)
+	for i := range 40 {
+		assert.Equal(t, c.get(t, 1, fmt.Sprint("r", i)), http.StatusOK)
+	}
+	// Some of the 40 were placed on other nodes; node 3 explains one of them.
+	var id, chosen string
+	for _, d := range c.nodes[1].observed.ring.Recent(100, nil) {
+		if d.Choice.ID != "n1" && d.Choice.N > 1 {
+			id, chosen = d.Request, d.Choice.ID
+		}
+	}
+	assert.Assert(t, id != "", "node 1 kept all requests for itself")
+	text, err := c.operate(t, 3, "explain "+id)
+	assert.NilError(t, err)
+	for _, want := range []string{id, "n1", "place", "answered", chosen, "servers considered", "higher expected time"} {
+		assert.Assert(t, strings.Contains(text, want), "%q is missing in\n%s", want, text)
+	}
+	assert.Assert(t, !strings.Contains(text, "did not answer"), text)
+
+	// A node that has just died is still a member, or is listed as dead.
+	c.nodes[2].Kill()
+	text, err = c.operate(t, 3, "explain "+id)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(text, "node n2 did not answer"), text)
+}
+
+// Guards against a refusal of the far node that leaves no trace of its cause.
+func TestRefusalsAreExplained(t *testing.T) {
+	c := startCluster(t, 2)
+	c.nodes[0].far.stopping.Store(true)
+	c.nodes[1].far.stopping.Store(true)
+	assert.Equal(t, c.get(t, 0, "refused-1"), http.StatusServiceUnavailable)
+	text, err := c.operate(t, 1, "explain refused-1")
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(text, "refuse  "), 2, text)
+	for _, want := range []string{"handover", "draining"} {
+		assert.Assert(t, strings.Contains(text, want), "%q is missing in\n%s", want, text)
+	}
+	assert.Assert(t, strings.Contains(c.scrape(t, 0), `vanillasail_refusals_total{class="default",kind="draining",service="stock",tenant="default"} 1`))
+}
+
+func (c *cluster) scrape(t *testing.T, i int) string {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+c.nodes[i].OperatorAddr()+"/metrics", nil)
+	assert.NilError(t, err)
+	response, err := c.client.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var text strings.Builder
+	_, err = fmt.Fprint(&text, response.StatusCode, response.Header.Get("Content-Type"), "\n")
+	assert.NilError(t, err)
+	_, err = io.Copy(&text, response.Body)
+	assert.NilError(t, err)
+	return text.String()
+}
+
+// Guards against a report that misses nodes, mixes up the windows or is not
+// kept in the object store.
+func TestReportComparesAllNodes(t *testing.T) {
+	c := startCluster(t, 3)
+	load := func(round string) {
+		for i := range 30 {
+			assert.Equal(t, c.get(t, i%3, fmt.Sprint(round, i)), http.StatusOK)
+		}
+	}
+	change := func(queue int, version uint64) {
+		_, err := c.operate(t, 0, fmt.Sprintf(`set services.stock.queue = %d because "test"`, queue))
+		assert.NilError(t, err)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			for _, n := range c.nodes {
+				if n.observed.history.Version() != version {
+					return poll.Continue("node %s measures version %d", n.ID, n.observed.history.Version())
+				}
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+	}
+	change(32, 1)
+	load("before")
+	change(64, 2)
+	load("after")
+	text, err := c.operate(t, 1, "report 2")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(text, "stock    default  default  30            30"), text)
+	for format, want := range map[string]string{"text": "test", "json": `"title": "windows"`, "svg": "<svg"} {
+		kept, err := c.operate(t, 2, "show report 2 as "+format)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(kept, want), "%s: %.200s", format, kept)
+	}
+	_, err = c.operate(t, 0, "report 3")
+	assert.ErrorContains(t, err, "version")
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -75,6 +75,7 @@
 	n.peers.Calls = &n.far
 	n.peers.Controls = make(map[string]node.ControlFunc)
 	n.config.controls(n.peers.Controls)
+	n.observed.assemble(n)
 	n.callers.Calls, n.callers.Rules, n.callers.MaxBody = n, &n.config, n.MaxBody
 	n.announce.Handler = n.handleAnnounce
 	return n.operators.assemble(n)
@@ -145,6 +146,7 @@
 	n.members.announce(now, n.local.get(), n.far.stopping.Load())
 	n.members.tick(now)
 	n.routes.Tick(now)
+	n.observed.history.Tick(now, uint64(n.config.Version()))
 }
 
 // followLoop does the slow work that talks to the store and to other nodes.
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/vanillasail/vanillasail/internal/http1"
+	"github.com/vanillasail/vanillasail/internal/metrics"
 	"github.com/vanillasail/vanillasail/internal/object"
 	"github.com/vanillasail/vanillasail/internal/operator"
 	"github.com/vanillasail/vanillasail/internal/store"
@@ -32,12 +33,15 @@
 		}
 		o.keys = operator.Keys{key}
 	}
-	o.console = operator.Console{Config: &n.config, Members: memberView{n}, Log: n.Log}
+	o.console = operator.Console{
+		Config: &n.config, Members: memberView{n}, Decisions: &n.observed.decisions, Reports: &n.observed.reports, Log: n.Log,
+	}
 	if n.Object != "" {
 		o.console.Objects = object.Client{Endpoint: store.Endpoint{Base: n.Object, Timeout: n.StoreTimeout}}
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", &operator.Handler{Console: &o.console, Keys: func() operator.Keys { return o.keys }})
+	mux.Handle("GET /metrics", metrics.Handler(&n.observed.metrics, &n.limits))
 	mux.HandleFunc("GET /ready", o.ready)
 	o.Handler = http1.Adapt(mux)
 	o.MaxBody = maxCommand
--- a/internal/metrics/history.go
+++ b/internal/metrics/history.go
@@ -127,3 +127,10 @@
 	}
 	return &Window{From: now.Sub(spans[0].from), To: now.Sub(spans[len(spans)-1].to), Figures: sum.Figures()}
 }
+
+// Version returns the configuration version of the running interval.
+func (h *History) Version() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -82,7 +82,7 @@
 func (parts) Recent(context.Context, int) []operator.Decision { return nil }
 
 func (parts) Explain(_ context.Context, id string) ([]operator.Decision, []string, error) {
-	considered := []operator.Candidate{{Server: "poa-1", InFlight: 7, Score: 1.5, Reason: "best score"}}
+	considered := []operator.Candidate{{Server: "poa-1", Own: 7, Load: 1.5, Reason: "best score"}}
 	return []operator.Decision{{Request: id, Action: "place", Chosen: "poa-1", Considered: considered}}, []string{"cwb-9"}, nil
 }
 
@@ -95,7 +95,7 @@
 	return nil
 }
 
-func (parts) Measure(context.Context, config.Version) (before, after operator.Window, err error) {
+func (parts) Measure(context.Context, config.Version) (before, after operator.Window, silent []string, err error) {
 	label := operator.Label{Service: "stock", Class: "lookup", Tenant: "geada"}
 	window := func(scale int64) operator.Window {
 		h := hdrhistogram.New(1, 60_000_000, 3)
@@ -110,7 +110,7 @@
 			Refusals: []operator.Refusals{{Label: label, Reason: "overloaded", Count: scale}},
 		}
 	}
-	return window(1), window(2), nil
+	return window(1), window(2), []string{"cwb-9"}, nil
 }
 
 // Guards against a change that is lost, not recorded, or applied by a dry run.
--- a/internal/operator/parts.go
+++ b/internal/operator/parts.go
@@ -39,11 +39,16 @@
 // Candidate is one server that a decision considered, with the numbers known
 // at that moment.
 type Candidate struct {
-	Server                  string
-	InFlight, Queued, Slots int
-	Latency, Age            time.Duration
-	Score                   float64
-	Reason                  string
+	Server string
+	// Own is the number of requests that the deciding node had in flight there.
+	Own int
+	// Load is the estimated number of requests running and queued there.
+	Load float64
+	// Expected is the time in which an answer was expected; the lowest wins.
+	Expected time.Duration
+	// Age is the age of the newest load report, or negative when there was none.
+	Age    time.Duration
+	Reason string
 }
 
 // Decision is one step of a request: a placement, retry, hedge or refusal.
@@ -93,8 +98,9 @@
 
 // Reports measures the effect of accepted changes.
 type Reports interface {
-	// Measure returns the windows before and after a version came into force.
-	Measure(ctx context.Context, v config.Version) (before, after Window, err error)
+	// Measure returns the windows before and after a version came into force,
+	// and names the nodes that did not answer.
+	Measure(ctx context.Context, v config.Version) (before, after Window, silent []string, err error)
 }
 
 // Objects keeps reports; object.Client implements it.
--- a/internal/operator/report.go
+++ b/internal/operator/report.go
@@ -26,6 +26,8 @@
 	Latency  []Latency
 	Links    []LinkBytes
 	Refusals []Refusals
+	// Nodes counts the nodes that measured something in the window.
+	Nodes int
 }
 
 // Label names the requests that a figure is about.
@@ -55,6 +57,8 @@
 	record        config.Record
 	differences   []config.Difference
 	before, after Window
+	// silent names the nodes whose figures are missing.
+	silent []string
 }
 
 var reportFormats = map[string]struct{ extension, contentType string }{
@@ -107,7 +111,7 @@
 		return comparison{}, err
 	}
 	c := comparison{record: after.Record, differences: config.Diff(before.Document, after.Document)}
-	c.before, c.after, err = x.Reports.Measure(ctx, v)
+	c.before, c.after, c.silent, err = x.Reports.Measure(ctx, v)
 	return c, err
 }
 
@@ -166,12 +170,16 @@
 func (c comparison) result() Result {
 	record := recordTable("change")
 	addRecord(record, c.record)
-	spans := newTable("windows", text("window"), instant("from"), instant("to"))
-	spans.add("before", c.before.From, c.before.To)
-	spans.add("after", c.after.From, c.after.To)
-	return Result{Tables: []*Table{
+	spans := newTable("windows", text("window"), instant("from"), instant("to"), integer("nodes"))
+	spans.add("before", c.before.From, c.before.To, c.before.Nodes)
+	spans.add("after", c.after.From, c.after.To, c.after.Nodes)
+	result := Result{Tables: []*Table{
 		record, differenceTable("fields", c.differences), spans, c.latencyTable(), c.linksTable(), c.refusalsTable(),
 	}}
+	for _, node := range c.silent {
+		result.note("node %s did not answer; its figures are missing", node)
+	}
+	return result
 }
 
 func (c comparison) latencyTable() *Table {
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/fault"
@@ -139,6 +140,14 @@
 	t.add(d.Time, d.Request, d.Node, d.Service, d.Class, d.Tenant, d.Action, d.Chosen, d.Reason, d.Outcome, d.Latency)
 }
 
+// known returns the age of a report, or nil when there was none.
+func known(age time.Duration) any {
+	if age < 0 {
+		return nil
+	}
+	return age
+}
+
 func (x *run) explain(ctx context.Context, e *explain) (Result, error) {
 	if x.Decisions == nil {
 		return Result{}, notPlugged("decisions")
@@ -152,12 +161,12 @@
 			WithRemedy("check the ID; nodes keep their last 4,096 decisions")
 	}
 	steps := decisionTable("decisions about " + e.Request)
-	servers := newTable("servers considered", integer("step"), text("server"), integer("inflight"), integer("queued"),
-		integer("slots"), duration("latency"), duration("age"), ratio("score"), text("reason"))
+	servers := newTable("servers considered", integer("step"), text("server"), integer("own"), ratio("load"),
+		duration("expected"), duration("age"), text("reason"))
 	for i, d := range decisions {
 		addDecision(steps, d)
 		for _, c := range d.Considered {
-			servers.add(i+1, c.Server, c.InFlight, c.Queued, c.Slots, c.Latency, c.Age, c.Score, c.Reason)
+			servers.add(i+1, c.Server, c.Own, c.Load, c.Expected, known(c.Age), c.Reason)
 		}
 	}
 	result := Result{Tables: []*Table{steps, servers}}
