Add the operators' commands to the command line

Ruled out: one type for each command (ten copies that differ in a name); a flag for the token secret, because every user of the host can read the arguments of a process; repeating a change with watch.

Change: cli/operate.go and cli/operators.go hold one table of commands; the ten verbs come from operator.Verbs, which now also has a summary. Nodes and token come from -nodes and -token or VANILLASAIL_NODES and VANILLASAIL_TOKEN; flags with two dashes may follow the words. Quotes that a shell removed around reasons and texts with spaces are put back.

Tests: 17 command lines against the language over HTTP with exit codes 0, 1, 2, 3 and 4, the first of two named nodes being down.

--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -26,6 +26,9 @@
 	commander.Register(&checkCommand{}, "prepare")
 	commander.Register(&keysCommand{}, "prepare")
 	commander.Register(&standinCommand{}, "test")
+	for _, c := range operatorCommands(os.Stdin, os.Stdout, os.Stderr) {
+		commander.Register(c, "operate")
+	}
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- /dev/null
+++ b/internal/cli/operate_test.go
@@ -0,0 +1,125 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/subcommands"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/operator"
+	standin "github.com/vanillasail/vanillasail/internal/standin/store"
+	"github.com/vanillasail/vanillasail/internal/store"
+	"github.com/vanillasail/vanillasail/internal/table"
+	"github.com/vanillasail/vanillasail/pkg/config"
+)
+
+const secret = "a token secret of the command line tests"
+
+// run executes one command line and returns its exit code and output.
+func run(t *testing.T, input string, args ...string) (code int, out, errors string) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	flags := flag.NewFlagSet("vanillasail", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	commander := subcommands.NewCommander(flags, "vanillasail")
+	commander.Error = io.Discard
+	for _, c := range operatorCommands(strings.NewReader(input), &stdout, &stderr) {
+		commander.Register(c, "")
+	}
+	assert.NilError(t, flags.Parse(args))
+	return int(commander.Execute(context.Background())), stdout.String(), stderr.String()
+}
+
+// startNode serves the language with a stand-in of the table, and names itself
+// and a token in the environment.
+func startNode(t *testing.T) {
+	t.Helper()
+	var rows standin.Server
+	assert.NilError(t, rows.Start("127.0.0.1:0"))
+	t.Cleanup(func() { _ = rows.Stop(context.Background()) })
+	key, err := operator.SecretKey("settings", []byte(secret))
+	assert.NilError(t, err)
+	server := httptest.NewServer(&operator.Handler{
+		Keys: func() operator.Keys { return operator.Keys{key} },
+		Console: &operator.Console{
+			Config: &config.Keeper{Store: table.ConfigRows{Client: table.Client{Endpoint: store.Endpoint{Base: rows.URL()}}}},
+			Log:    &log.Logger{Handler: discard.New()},
+		},
+	})
+	t.Cleanup(server.Close)
+	t.Setenv(envSecret, secret)
+	_, token, _ := run(t, "", "token", "ana")
+	t.Setenv(envToken, strings.TrimSpace(token))
+	t.Setenv(envNodes, "127.0.0.1:1, "+strings.TrimPrefix(server.URL, "http://"))
+}
+
+// Guards against commands that reach the node changed, hide an error, or end
+// with an exit code that scripts cannot rely on.
+func TestCommandsEndToEnd(t *testing.T) {
+	startNode(t)
+	settings := filepath.Join(t.TempDir(), "node.yaml")
+	assert.NilError(t, os.WriteFile(settings, []byte("node: {}\n"), 0o600))
+	steps := []struct {
+		args  string // separated by |
+		input string
+		code  int
+		want  string
+	}{
+		{args: `create|service stock with queue = 32 because "new stock lookups"`, want: "new stock lookups"},
+		{args: `set|services.stock.queue|=|64|because|trucks wait for "slots"`, want: `trucks wait for "slots"`},
+		{args: `show|config|services.stock.queue`, want: "64"},
+		{args: `show|config|services.stock.queue|--output|json`, want: `"rows":[["services.stock.queue",`},
+		{args: `show|-output|yaml|config`, code: 2, want: "use table or json"},
+		{args: `set|services.stock.queue = 1 on 1 because "late"`, code: 3, want: "conflict"},
+		{args: `set|services.stock.queue|=|1`, code: 2, want: "no reason"},
+		{args: `explain|4f2a`, code: 1, want: "this node has no decisions"},
+		{args: `show|-nodes|127.0.0.1:1|config`, code: 4, want: "name another node"},
+		{args: `show|-token|x|config`, code: 1, want: "token"},
+		{args: `undo|2|because|slow|dry|run`, want: "dry run: nothing was changed"},
+		{args: `watch|-every|100ms|-count|2|show|versions`, want: "versions\n"},
+		{args: `watch|set|services.stock.queue = 1 because "x"`, code: 2, want: "only queries"},
+		{args: `shell`, input: "show versions limit 1\nshow nothing\nexit\n", want: "write show TARGET"},
+		{args: `token|-role|admin|ana`, code: 2, want: "viewer or operator"},
+		{args: `token|-settings|` + settings + `|ana`, code: 1, want: "settings are not valid"},
+		{args: `token`, code: 2, want: "token NAME"},
+	}
+	for _, s := range steps {
+		code, out, errors := run(t, s.input, strings.Split(s.args, "|")...)
+		assert.Equal(t, code, s.code, "%s\n%s%s", s.args, out, errors)
+		assert.Assert(t, strings.Contains(out+errors, s.want), "%s: %q is missing in\n%s%s", s.args, s.want, out, errors)
+	}
+}
+
+// Guards against a command whose help lacks an example, and against words of a
+// shell that become another command.
+func TestSentence(t *testing.T) {
+	for _, c := range operatorCommands(nil, io.Discard, io.Discard) {
+		assert.Assert(t, strings.Contains(c.Usage(), "Example: vanillasail "+c.Name()), c.Name())
+	}
+	cases := map[string]struct {
+		words []string
+		want  string
+	}{
+		"whole":         {[]string{`servers of stock where region = poa`}, `x servers of stock where region = poa`},
+		"words":         {[]string{"servers", "of", "stock"}, "x servers of stock"},
+		"reason":        {[]string{"12", "because", "p99 doubled"}, `x 12 because "p99 doubled"`},
+		"one word":      {[]string{"12", "because", "slow"}, `x 12 because "slow"`},
+		"quoted reason": {[]string{"12", "because", `"slow"`}, `x 12 because "slow"`},
+		"condition":     {[]string{"servers", "where", "queued > 3"}, "x servers where queued > 3"},
+		"quoted path":   {[]string{`services.a.rules."GET /x y"`, "=", "idempotent"}, `x services.a.rules."GET /x y" = idempotent`},
+		"spaced value":  {[]string{"a.b", "=", "two words"}, `x a.b = "two words"`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, sentence("x", tc.words), tc.want) })
+	}
+}
--- a/internal/operator/language_test.go
+++ b/internal/operator/language_test.go
@@ -26,8 +26,8 @@
 			assert.NilError(t, err, line)
 		}
 	}
-	for _, v := range verbs {
-		assert.Assert(t, examples[v.example], "%s has no example in docs/operators.md", v.name)
+	for _, v := range Verbs {
+		assert.Assert(t, examples[v.Example], "%s has no example in docs/operators.md", v.Name)
 	}
 }
 
--- a/internal/operator/parse.go
+++ b/internal/operator/parse.go
@@ -11,20 +11,21 @@
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
-// verb documents one command; the examples are also those of docs/operators.md.
-type verb struct{ name, syntax, example string }
+// Verb documents one command; the examples are also those of docs/operators.md.
+type Verb struct{ Name, Summary, Syntax, Example string }
 
-var verbs = []verb{
-	{"show", `show TARGET [ARGUMENT] [of SERVICE] [as text|json|svg] [where COLUMN OP VALUE [and ...]] [limit N]`, `show servers of stock where region = poa and queued > 3 limit 20`},
-	{"explain", `explain REQUEST-ID`, `explain 4f2a90c1`},
-	{"create", `create service|tenant|class NAME [with FIELD = VALUE, ...] because "REASON"`, `create service stock with queue = 64, retry.limit = 1 because "new stock lookups"`},
-	{"set", `set PATH = VALUE, ... because "REASON"`, `set services.stock.rules."POST /stock/lookup" = idempotent because "lookups may be retried"`},
-	{"remove", `remove PATH because "REASON"`, `remove tenants.geada because "contract ended"`},
-	{"drain", `drain SERVER of SERVICE [off] because "REASON"`, `drain poa-a-7 of stock because "cold room 7 is being serviced"`},
-	{"diff", `diff [FROM [TO]]`, `diff 11 12`},
-	{"undo", `undo VERSION because "REASON"`, `undo 12 because "p99 of dispatch doubled" dry run`},
-	{"report", `report VERSION [as text|json|svg] [unsaved]`, `report 12 as svg`},
-	{"reset", `reset shard N of SERVICE because "REASON"`, `reset shard 3 of dispatch because "owner and backup were both replaced"`},
+// Verbs lists the commands of the language.
+var Verbs = []Verb{
+	{"show", "list what a node knows: configuration, servers, decisions, reports", `show TARGET [ARGUMENT] [of SERVICE] [as text|json|svg] [where COLUMN OP VALUE [and ...]] [limit N]`, `show servers of stock where region = poa and queued > 3 limit 20`},
+	{"explain", "say what all nodes decided about one request, and why", `explain REQUEST-ID`, `explain 4f2a90c1`},
+	{"create", "add a service, tenant or class", `create service|tenant|class NAME [with FIELD = VALUE, ...] because "REASON"`, `create service stock with queue = 64, retry.limit = 1 because "new stock lookups"`},
+	{"set", "change fields of the configuration", `set PATH = VALUE, ... because "REASON"`, `set services.stock.rules."POST /stock/lookup" = idempotent because "lookups may be retried"`},
+	{"remove", "take a field or an entry away, so that defaults apply", `remove PATH because "REASON"`, `remove tenants.geada because "contract ended"`},
+	{"drain", "send no new work to a server", `drain SERVER of SERVICE [off] because "REASON"`, `drain poa-a-7 of stock because "cold room 7 is being serviced"`},
+	{"diff", "compare two versions of the configuration", `diff [FROM [TO]]`, `diff 11 12`},
+	{"undo", "take the changes of one version back", `undo VERSION because "REASON"`, `undo 12 because "p99 of dispatch doubled" dry run`},
+	{"report", "compare latency, measuring and refusals before and after a change", `report VERSION [as text|json|svg] [unsaved]`, `report 12 as svg`},
+	{"reset", "give a shard of at-most-once records a new owner and backup", `reset shard N of SERVICE because "REASON"`, `reset shard 3 of dispatch because "owner and backup were both replaced"`},
 }
 
 func parse(text string) (*command, error) {
@@ -62,11 +63,11 @@
 // usage names the remedy for a command that does not parse.
 func usage(text string) string {
 	first, _, _ := strings.Cut(strings.TrimSpace(text), " ")
-	names := make([]string, len(verbs))
-	for i, v := range verbs {
-		names[i] = v.name
-		if v.name == first {
-			return "write " + v.syntax + ", for example: " + v.example
+	names := make([]string, len(Verbs))
+	for i, v := range Verbs {
+		names[i] = v.Name
+		if v.Name == first {
+			return "write " + v.Syntax + ", for example: " + v.Example
 		}
 	}
 	return "begin with one of " + strings.Join(names, ", ")
