--- a/internal/daemon/local_server.go
+++ b/internal/daemon/local_server.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/vanillasail/vanillasail/pkg/config"
 )
 
 const (
@@ -29,6 +31,15 @@
 	at   time.Time
 	// since is when the server became ready, for slow start.
 	since time.Time
+	// drained is set while the configuration drains the server.
+	drained bool
+}
+
+// obey puts an operator's drain of the server beside the node in force.
+func (l *localServer) obey(current *config.Snapshot, node string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drained = current.Document.Services[l.last.Service].Servers[node].Drained
 }
 
 // update takes an announcement and reports whether anything changed.
@@ -63,9 +74,14 @@
 	}
 }
 
-// get returns the newest announcement; Addr is empty when there is none.
+// get returns the newest announcement; Addr is empty when there is none. A
+// server that an operator drains is draining whatever it says itself.
 func (l *localServer) get() announcement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.last
+	a := l.last
+	if l.drained && a.Addr != "" {
+		a.State = stateDraining
+	}
+	return a
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -141,6 +141,7 @@
 	n.callers.Tick()
 	n.peers.Tick(now)
 	n.local.expire(now)
+	n.local.obey(n.config.Current(), n.ID)
 	n.gate.update(n.local.get(), n.ID, n.config.Current())
 	n.gate.tick(now)
 	n.members.announce(now, n.local.get(), n.far.stopping.Load())
