--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -33,6 +33,7 @@
 	callers   caller.Server
 	announce  http1.Server
 	operators operators
+	observed  observation
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -64,15 +65,17 @@
 func (n *Node) assemble() error {
 	shared := common{Options: &n.Options}
 	n.routes.Config = routing.Config{Node: n.ID, Region: n.Region, Domain: n.Domain}
-	n.far = far{common: shared, local: &n.local, gate: &n.gate}
+	n.observed.common = shared
+	n.far = far{common: shared, journal: journal{&n.observed}, local: &n.local, gate: &n.gate}
 	n.members.common, n.members.routes = shared, &n.routes
 	n.config.common, n.config.members, n.config.node = shared, &n.members, &n.peers
 	n.config.start()
-	n.entry = entry{common: shared, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, retries: &retries{}}
+	n.entry = entry{common: shared, journal: journal{&n.observed}, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, retries: &retries{}}
 	n.peers.ID, n.peers.MaxBody, n.peers.Credentials = n.ID, n.MaxBody, n.Credentials
 	n.peers.Calls = &n.far
 	n.peers.Controls = make(map[string]node.ControlFunc)
 	n.config.controls(n.peers.Controls)
+	n.observed.assemble(n)
 	n.callers.Calls, n.callers.Rules, n.callers.MaxBody = n, &n.config, n.MaxBody
 	n.announce.Handler = n.handleAnnounce
 	return n.operators.assemble(n)
@@ -138,11 +141,13 @@
 	n.callers.Tick()
 	n.peers.Tick(now)
 	n.local.expire(now)
+	n.local.obey(n.config.Current(), n.ID)
 	n.gate.update(n.local.get(), n.ID, n.config.Current())
 	n.gate.tick(now)
 	n.members.announce(now, n.local.get(), n.far.stopping.Load())
 	n.members.tick(now)
 	n.routes.Tick(now)
+	n.observed.history.Tick(now, uint64(n.config.Version()))
 }
 
 // followLoop does the slow work that talks to the store and to other nodes.
