Run keyed requests at most once through the owner of their shard

Ruled out: tenants sharing a key space; keys belong to a tenant, so the load's resends name the tenant of the first send. Change: internal/daemon wires internal/owner; a planned stop hands shards over.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -29,6 +29,7 @@
 	entry     entry
 	members   membership
 	config    configuration
+	shards    shards
 	peers     node.Transport
 	callers   caller.Server
 	announce  http1.Server
@@ -53,6 +54,7 @@
 	if err := n.members.start(ctx, &n.peers, n.advertised(), &n.limits); err != nil {
 		return err
 	}
+	n.shards.start(n.members.protocol.Own().Ref)
 	n.done.Add(2)
 	go n.tickLoop(ctx)
 	go n.followLoop(ctx)
@@ -72,9 +74,10 @@
 	n.config.start()
 	n.entry = entry{common: shared, journal: journal{&n.observed}, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, retries: &retries{}}
 	n.peers.ID, n.peers.MaxBody, n.peers.Credentials = n.ID, n.MaxBody, n.Credentials
-	n.peers.Calls = &n.far
+	n.peers.Calls = peerCalls{shards: &n.shards, far: &n.far}
 	n.peers.Controls = make(map[string]node.ControlFunc)
 	n.config.controls(n.peers.Controls)
+	n.shards.assemble(n)
 	n.observed.assemble(n)
 	n.callers.Calls, n.callers.Rules, n.callers.MaxBody = n, &n.config, n.MaxBody
 	n.announce.Handler = n.handleAnnounce
@@ -86,7 +89,7 @@
 	if !n.config.Ready() {
 		return nil, fault.New(fault.KindStopped, "node %s has no configuration yet", n.ID)
 	}
-	return n.entry.Serve(ctx, r)
+	return n.shards.Serve(ctx, r)
 }
 
 func (n *Node) listen() error {
@@ -146,6 +149,7 @@
 	n.gate.tick(now)
 	n.members.announce(now, n.local.get(), n.far.stopping.Load())
 	n.members.tick(now)
+	n.shards.tick(now)
 	n.routes.Tick(now)
 	n.observed.history.Tick(now, uint64(n.config.Version()))
 }
@@ -193,6 +197,9 @@
 	n.Log.WithField("node", n.ID).Info("node stopping")
 	n.far.stopping.Store(true)
 	n.members.gossip.Leave(time.Now())
+	if err := n.shards.stop(ctx); err != nil {
+		n.Log.WithError(err).WithField("node", n.ID).Warn("shards not handed over")
+	}
 	left := n.callers.Drain(ctx, n.Notice)
 	_ = n.peers.Close(ctx)
 	n.cancel()
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -34,7 +34,7 @@
 		o.keys = operator.Keys{key}
 	}
 	o.console = operator.Console{
-		Config: &n.config, Members: memberView{n}, Decisions: &n.observed.decisions, Reports: &n.observed.reports, Log: n.Log,
+		Config: &n.config, Members: memberView{n}, Shards: shardView{n}, Decisions: &n.observed.decisions, Reports: &n.observed.reports, Log: n.Log,
 	}
 	if n.Object != "" {
 		o.console.Objects = object.Client{Endpoint: store.Endpoint{Base: n.Object, Timeout: n.StoreTimeout}}
--- /dev/null
+++ b/internal/daemon/shards.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/node"
+	"github.com/vanillasail/vanillasail/internal/operator"
+	"github.com/vanillasail/vanillasail/internal/owner"
+	"github.com/vanillasail/vanillasail/internal/table"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/member"
+	"github.com/vanillasail/vanillasail/pkg/once"
+)
+
+const (
+	shardInterval = time.Second
+	// handOverTimeout bounds the wait for the store at a planned stop; a shard
+	// that was not handed over refuses new keys until it is repaired.
+	handOverTimeout = 5 * time.Second
+)
+
+// shards runs keyed requests at most once.
+type shards struct {
+	owner.Controller
+	keeper once.Keeper
+	ticked time.Time
+}
+
+func (s *shards) assemble(n *Node) {
+	s.Keeper = &s.keeper
+	s.Members = shardMembers{&n.members}
+	s.Network = &n.peers
+	s.Table = shardRows{n.tableClient()}
+	s.Next = &n.entry
+	maps.Copy(n.peers.Controls, s.Controls())
+}
+
+// start names this process; its incarnation is known only once it listens.
+func (s *shards) start(self member.Ref) { s.keeper.Self = shardRef(self) }
+
+func (s *shards) tick(now time.Time) {
+	if now.Sub(s.ticked) >= shardInterval {
+		s.ticked = now
+		s.Tick(now)
+	}
+}
+
+// stop hands the shards to other members and waits for attempts under way.
+func (s *shards) stop(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	err := s.HandOver(limited)
+	if waited := s.Wait(ctx); err == nil {
+		err = waited
+	}
+	return err
+}
+
+// peerCalls answers requests from other nodes: as the owner of a key, or for
+// the backend server beside this node.
+type peerCalls struct {
+	shards *shards
+	far    *far
+}
+
+// Serve implements call.Server.
+func (p peerCalls) Serve(ctx context.Context, r call.Request) (*call.Answer, error) {
+	if r.Epoch != 0 {
+		return p.shards.Serve(ctx, r)
+	}
+	return p.far.Serve(ctx, r)
+}
+
+func shardRef(r member.Ref) once.Ref { return once.Ref{ID: r.ID, Incarnation: r.Incarnation} }
+
+// shardMembers shows the membership to the shards.
+type shardMembers struct{ *membership }
+
+// Status implements once.View.
+func (m shardMembers) Status(r once.Ref) once.Status {
+	known, ok := m.protocol.Table().Get(r.ID)
+	switch {
+	case !ok:
+		return once.Dead
+	case known.Incarnation > r.Incarnation:
+		return once.Gone
+	case known.Incarnation < r.Incarnation || known.State == member.StateDead || known.State == member.StateUnreachable:
+		return once.Dead
+	case known.Own == member.StateLeaving:
+		return once.Leaving
+	default:
+		return once.Alive
+	}
+}
+
+// Members implements once.View.
+func (m shardMembers) Members() []once.Member {
+	known := m.protocol.Table().Members()
+	all := make([]once.Member, 0, len(known))
+	for _, k := range known {
+		if k.Own != member.StateLeaving && (k.State == member.StateAlive || k.State == member.StateDraining) {
+			all = append(all, once.Member{Ref: shardRef(k.Ref), Region: k.Region, Domain: k.Domain})
+		}
+	}
+	return all
+}
+
+// Peer implements owner.Members.
+func (m shardMembers) Peer(r once.Ref) (node.Peer, bool) {
+	known, ok := m.protocol.Table().Get(r.ID)
+	return node.Peer{ID: r.ID, Addr: known.Addr}, ok && known.Incarnation == r.Incarnation
+}
+
+// shardRows keeps the shard maps in the table.
+type shardRows struct{ table.Client }
+
+// Get implements owner.Table.
+func (t shardRows) Get(ctx context.Context, key string) (value []byte, etag string, err error) {
+	row, err := t.Client.Get(ctx, key)
+	if fault.Is(err, fault.KindNotFound) {
+		return nil, "", nil
+	}
+	return row.Value, row.Tag, err
+}
+
+// CompareAndSwap implements owner.Table.
+func (t shardRows) CompareAndSwap(ctx context.Context, key, etag string, value []byte) (string, error) {
+	return t.Swap(ctx, key, etag, value)
+}
+
+// shardView shows and resets shards for operators.
+type shardView struct{ *Node }
+
+// Shards implements operator.Shards. It shows the shards that this node holds.
+func (v shardView) Shards(_ context.Context, service string) ([]operator.Shard, error) {
+	services := []string{service}
+	if service == "" {
+		services = v.routes.Services()
+	}
+	var all []operator.Shard
+	for _, name := range services {
+		for i := range once.Shards {
+			s, holds := v.shards.keeper.Shard(name, i)
+			if !holds {
+				continue
+			}
+			all = append(all, operator.Shard{
+				Service: name, Index: i, Epoch: s.Epoch, Owner: s.Owner.ID, Backup: s.Backup.ID, State: "held",
+			})
+		}
+	}
+	return all, nil
+}
+
+// Reset implements operator.Shards.
+func (v shardView) Reset(ctx context.Context, service string, index int, o operator.Order) error {
+	v.Log.WithField("service", service).WithField("shard", index).WithField("by", o.Author).
+		WithField("reason", o.Reason).Warn("shard reset")
+	return v.shards.Reset(ctx, service, index)
+}
--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -57,7 +57,8 @@
 	}
 	hr.Header.Set("Request-Id", r.id)
 	hr.Header.Set("Class", r.class)
-	hr.Header.Set("Tenant", "tenant-"+r.id[len(r.id)-1:])
+	// Keys belong to a tenant, so a resend names the tenant of the first send.
+	hr.Header.Set("Tenant", "tenant-"+r.tenant())
 	if r.key != "" {
 		hr.Header.Set("Idempotency-Key", r.key)
 	}
@@ -86,3 +87,11 @@
 	}
 	return strings.HasPrefix(text, server.Proof(id, r.uri, []byte(r.body)))
 }
+
+func (r request) tenant() string {
+	id := r.id
+	if r.first != "" {
+		id = r.first
+	}
+	return id[len(id)-1:]
+}
