Tell other nodes of a stop; never use the links of a replaced process

A stopped node closed its outgoing links only, so other nodes used theirs until the silence was noticed after 1.5 s; a node that was replaced at the same address was called over the connection to its predecessor. Ruled out: contention on the shard row; its conflicts are retried while the old pair goes on. Change: Transport.Close closes accepted connections; a peer carries its incarnation, and a newer one gets a new link.

--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -111,7 +111,11 @@
 
 func (m *membership) peer(id string) (node.Peer, bool) {
 	other, ok := m.protocol.Table().Get(id)
-	return node.Peer{ID: id, Addr: other.Addr}, ok
+	return peerOf(other), ok
+}
+
+func peerOf(m member.Member) node.Peer {
+	return node.Peer{ID: m.ID, Addr: m.Addr, Incarnation: m.Incarnation}
 }
 
 // gossipBudget passes membership traffic through the measuring budget.
--- a/internal/daemon/shards.go
+++ b/internal/daemon/shards.go
@@ -111,7 +111,7 @@
 // Peer implements owner.Members.
 func (m shardMembers) Peer(r once.Ref) (node.Peer, bool) {
 	known, ok := m.protocol.Table().Get(r.ID)
-	return node.Peer{ID: r.ID, Addr: known.Addr}, ok && known.Incarnation == r.Incarnation
+	return peerOf(known), ok && known.Incarnation == r.Incarnation
 }
 
 // shardRows keeps the shard maps in the table.
--- a/internal/load/ledger.go
+++ b/internal/load/ledger.go
@@ -36,7 +36,8 @@
 	refused map[string]bool
 	// wrong and drops hold examples for the closing report.
 	wrong, drops []string
-	others       []string
+	refusals     []string
+	unknowns     []string
 	wrongCount   int
 }
 
@@ -77,7 +78,7 @@
 	case "refused":
 		t.refused++
 		l.refused[r.id] = true
-		l.example(r, text)
+		l.refusals = example(l.refusals, r, text)
 	case "ran":
 		t.ran++
 		_ = t.latency.RecordValue(took.Microseconds())
@@ -90,21 +91,22 @@
 		}
 	default:
 		t.unknown++
-		l.example(r, text)
+		l.unknowns = example(l.unknowns, r, text)
 	}
 }
 
-func (l *Ledger) example(r request, text string) {
-	if len(l.others) < maxExamples {
-		l.others = append(l.others, fmt.Sprintf("%s got %s", r.id, text))
+func example(all []string, r request, text string) []string {
+	if len(all) == maxExamples {
+		return all
 	}
+	return append(all, fmt.Sprintf("%s %s got %s", time.Now().Format(time.RFC3339Nano), r.id, text))
 }
 
 // Examples returns some of the requests that were not answered by a server.
 func (l *Ledger) Examples() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append(slices.Clone(l.drops), l.others...)
+	return slices.Concat(l.drops, l.unknowns, l.refusals)
 }
 
 func (l *Ledger) failed(r request, addr string, err error) {
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -14,6 +14,14 @@
 type Peer struct {
 	ID   string
 	Addr string
+	// Incarnation names the process; zero means the one that is connected.
+	Incarnation uint64
+}
+
+// replaces reports whether the peer is another process than the one that the
+// old peer named: its connections must not be used again.
+func (p Peer) replaces(old Peer) bool {
+	return p.Addr != old.Addr || (p.Incarnation > old.Incarnation && old.Incarnation != 0)
 }
 
 // link is the connection to one peer. It is dialed on demand; a link without
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -33,6 +33,8 @@
 }
 
 func (t *Transport) acceptStreams(conn *quic.Conn) {
+	t.adopt(conn)
+	defer t.forget(conn)
 	for {
 		stream, err := conn.AcceptStream(context.Background())
 		if err != nil {
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +60,8 @@
 	streams  sync.WaitGroup
 
 	mu sync.Mutex
+	// accepted holds the open connections of other nodes.
+	accepted map[*quic.Conn]struct{}
 	// links has at most maxLinks entries; the key is the peer's ID.
 	links  map[string]*link
 	closed bool
@@ -119,11 +123,11 @@
 		t.links = make(map[string]*link)
 	}
 	l := t.links[peer.ID]
-	if l != nil && l.peer.Addr == peer.Addr {
+	if l != nil && !peer.replaces(l.peer) {
+		l.peer.Incarnation = max(l.peer.Incarnation, peer.Incarnation)
 		return l, nil
 	}
 	if l != nil {
-		// The peer was replaced; its old connection must not be used again.
 		go l.close(codeIdle, "peer moved")
 		delete(t.links, peer.ID)
 	}
@@ -211,8 +215,36 @@
 	for _, l := range t.snapshot() {
 		l.close(codeStopped, "node stopped")
 	}
+	t.closeAccepted()
 	_ = t.listener.Close()
 	err := t.quic.Close()
 	_ = t.quic.Conn.Close()
 	return err
 }
+
+// closeAccepted tells other nodes that this one is gone. Without it they would
+// use their connections until they noticed the silence.
+func (t *Transport) closeAccepted() {
+	t.mu.Lock()
+	conns := slices.Collect(maps.Keys(t.accepted))
+	t.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.CloseWithError(codeStopped, "node stopped")
+	}
+}
+
+// adopt keeps an accepted connection until it ends.
+func (t *Transport) adopt(conn *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.accepted == nil {
+		t.accepted = make(map[*quic.Conn]struct{})
+	}
+	t.accepted[conn] = struct{}{}
+}
+
+func (t *Transport) forget(conn *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.accepted, conn)
+}
