--- /dev/null
+++ b/pkg/quarantine/bench_test.go
@@ -0,0 +1,103 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+)
+
+// busy returns a table at its bounds with 11 requests running.
+func busy() *Table {
+	t := &Table{}
+	for i := range Fingerprint(maxIncidents) {
+		incident := Incident{ID: uint64(i + 1)}
+		for n := range Fingerprint(16) {
+			incident.Prints = append(incident.Prints, 1000+i*16+n)
+		}
+		t.Merge(incident, start)
+	}
+	for p := range Fingerprint(11) {
+		t.Begin(p, start)
+	}
+	return t
+}
+
+func BenchmarkCheck4096Records(b *testing.B) {
+	t := busy()
+	b.ReportAllocs()
+	for i := Fingerprint(0); b.Loop(); i++ {
+		t.Check(i%8192, start)
+	}
+}
+
+func BenchmarkBeginEnd12Running(b *testing.B) {
+	t := busy()
+	b.ReportAllocs()
+	for b.Loop() {
+		s, _ := t.Begin(500, start)
+		t.End(s, true, start)
+	}
+}
+
+func BenchmarkMergeAtBound(b *testing.B) {
+	t := busy()
+	incident := Incident{ID: 1 << 20, Prints: make([]Fingerprint, 12)}
+	b.ReportAllocs()
+	for b.Loop() {
+		incident.ID++
+		for i := range incident.Prints {
+			incident.Prints[i] = Fingerprint(incident.ID)<<8 + Fingerprint(i)
+		}
+		t.Merge(incident, start)
+	}
+}
+
+// Guards against unlocked state.
+func TestConcurrentUse(t *testing.T) {
+	var node, other Table
+	var group sync.WaitGroup
+	for p := range Fingerprint(50) {
+		group.Go(func() {
+			s, _ := node.Begin(p, start)
+			node.Check(p, start)
+			other.Merge(node.Crash("server", start), start)
+			node.End(s, true, start)
+			node.Merge(other.Crash("server", start), start)
+			node.Tick(start.Add(time.Second))
+		})
+	}
+	group.Wait()
+	assert.Equal(t, node.Check(99, start), Run)
+}
+
+// Guards against incidents from another node that panic, grow the table beyond
+// its bounds, or change on the way.
+func FuzzIncident(f *testing.F) {
+	for _, seed := range []Incident{
+		{ID: 1, Server: "a", Prints: []Fingerprint{7, 8}, Lone: 7, Age: time.Second},
+		{ID: 2, Prints: []Fingerprint{7, 7}, Lone: 9},
+		{ID: 3, Prints: make([]Fingerprint, MaxPrints+1), Age: -1},
+	} {
+		data, err := msgpack.Marshal(&seed)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var i, copied Incident
+		if msgpack.Unmarshal(data, &i) != nil {
+			return
+		}
+		var node Table
+		merged := node.Merge(i, start)
+		assert.Assert(t, !merged || i.Valid() && len(node.records) <= MaxPrints)
+		assert.Assert(t, !node.Merge(i, start), "merged twice")
+		again, err := msgpack.Marshal(&i)
+		assert.NilError(t, err)
+		assert.NilError(t, msgpack.Unmarshal(again, &copied))
+		assert.Assert(t, copied.ID == i.ID && copied.Lone == i.Lone && slices.Equal(copied.Prints, i.Prints))
+	})
+}
--- a/pkg/quarantine/incident.go
+++ b/pkg/quarantine/incident.go
@@ -15,6 +15,9 @@
 // dozen slots.
 const MaxPrints = 64
 
+// maxServer bounds the length of a server's ID from another node.
+const maxServer = 256
+
 // Incident is the crash of a backend server and what it was running. It is
 // immutable and travels between nodes.
 type Incident struct {
@@ -40,7 +43,7 @@
 
 // Valid reports whether the incident can be merged.
 func (i Incident) Valid() bool {
-	return i.ID != 0 && i.Age >= 0 && len(i.Prints) <= MaxPrints &&
+	return i.ID != 0 && i.Age >= 0 && len(i.Prints) <= MaxPrints && len(i.Server) <= maxServer &&
 		(i.Lone == 0 || slices.Contains(i.Prints, i.Lone))
 }
 
--- /dev/null
+++ b/pkg/retry/bench_test.go
@@ -0,0 +1,61 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func BenchmarkGrantPut(b *testing.B) {
+	var budget Budget
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Put(budget.Grant(start, start))
+	}
+}
+
+func BenchmarkAttemptAndRetry(b *testing.B) {
+	var budget Budget
+	b.ReportAllocs()
+	for b.Loop() {
+		var t Attempts
+		t.Start(Allowance{Retries: 2})
+		t.Send("a")
+		t.Retry(&budget, true, Failed, start)
+		t.Send("b")
+		t.Answer("b", 0)
+	}
+}
+
+func BenchmarkLedger12Running(b *testing.B) {
+	var l Ledger
+	for i := range 11 {
+		l.Open(fmt.Sprint("request-", i), Allowance{})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Open("request", Allowance{Retries: 2})
+		a, _ := l.Borrow("request")
+		l.Return("request", a)
+		l.Close("request")
+	}
+}
+
+func BenchmarkHedger(b *testing.B) {
+	var h Hedger
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		h.Delay("lookup", now)
+		h.Observe("lookup", 10*time.Millisecond, now)
+	}
+}
+
+func BenchmarkHedgerMemoryOfOneClass(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		var h Hedger
+		h.Observe("lookup", time.Millisecond, start)
+	}
+}
