--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -120,3 +121,55 @@
 	}
 	assert.Assert(t, hedges <= 200 && hedges > 190, "%d hedges", hedges)
 }
+
+// Guards against a budget that is spent on calls that do not fail, so that the
+// few that do have no retry.
+func TestMostFailedCallsHaveARetry(t *testing.T) {
+	var b Budget
+	failed, retried := 0, 0
+	var inFlight []Allowance
+	for i := range 20_000 {
+		now := start.Add(time.Duration(i) * 8 * time.Millisecond)
+		inFlight = append(inFlight, b.Grant(start.Add(time.Hour), now))
+		if len(inFlight) <= 20 {
+			continue
+		}
+		a := inFlight[0]
+		inFlight = inFlight[1:]
+		if i%20 == 0 {
+			failed++
+			if left, ok := b.Spend(a, true, Failed, now); ok {
+				a, retried = left, retried+1
+			}
+		}
+		b.Put(a)
+	}
+	assert.Assert(t, retried*100 >= failed*95, "%d of %d retried", retried, failed)
+}
+
+// Guards against unlocked state that creates retries.
+func TestConcurrentUseConservesRetries(t *testing.T) {
+	var b Budget
+	var l Ledger
+	var h Hedger
+	l.Open("id", Allowance{Retries: 5})
+	tries := started(100)
+	var group sync.WaitGroup
+	for caller := range 50 {
+		group.Go(func() {
+			b.Put(b.Grant(start, start))
+			a, _ := l.Borrow("id")
+			l.Return("id", a)
+			h.Delay("lookup", start)
+			h.Observe("lookup", time.Millisecond, start)
+			if tries.Retry(&b, true, Failed, start) {
+				tries.Send(string(rune('a' + caller)))
+			}
+			tries.Hedge(&h, true, start)
+		})
+	}
+	group.Wait()
+	assert.Equal(t, l.Close("id"), uint8(5))
+	assert.Equal(t, b.Grant(start, start).Retries, uint8(grant))
+	assert.Assert(t, len(tries.Tried(nil)) <= MaxAttempts)
+}
