--- a/pkg/admission/model_test.go
+++ b/pkg/admission/model_test.go
@@ -1,7 +1,10 @@
 package admission
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -141,3 +144,39 @@
 		})
 	})
 }
+
+// Guards against a tenant that gets more than its weight by sending large or
+// many requests. While all have requests queued, the work started for two
+// tenants differs, by weight, by one round and one request of each at most.
+func TestShareByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 9), 2, 5).Draw(t, "weights")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		q, rules := &Queue{}, Rules{Queue: 1 << 20}
+		q.SetSlots(1)
+		e, _ := q.Enter(Ticket{}, start)
+		for tenant, weight := range weights {
+			rules = rules.WithWeight(strconv.Itoa(tenant), weight)
+		}
+		q.SetRules(rules)
+		enter := func(tenant int) {
+			cost := 1 + rng.IntN(MaxCost)
+			q.Enter(Ticket{Tenant: strconv.Itoa(tenant), Cost: cost, Waiter: [2]int{tenant, cost}}, start)
+		}
+		for tenant := range weights {
+			enter(tenant)
+			enter(tenant)
+		}
+		work := make([]float64, len(weights))
+		for range 1000 {
+			e = q.Leave(e, start, nil)[0]
+			w := e.Waiter.([2]int)
+			work[w[0]] += float64(w[1]) / float64(weights[w[0]])
+			enter(w[0])
+			for i := range work {
+				limit := 1 + MaxCost/float64(weights[i]) + MaxCost/float64(weights[w[0]])
+				assert.Assert(t, math.Abs(work[i]-work[w[0]]) <= limit, "work by weight %v", work)
+			}
+		}
+	})
+}
