--- a/internal/owner/transport_test.go
+++ b/internal/owner/transport_test.go
@@ -84,6 +84,7 @@
 		assert.NilError(b, err)
 		assert.Equal(b, reply.Verdict, once.VerdictAccepted)
 		owner.settle(record.Claim, once.OutcomeReleased, nil)
+		c.settled() // the settlement's message is not part of the claim
 	}
 	slices.Sort(times)
 	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-us")
--- a/pkg/once/model_test.go
+++ b/pkg/once/model_test.go
@@ -271,9 +271,11 @@
 
 // TestModel guards against a key that runs twice, a refusal "not run" of a key
 // that has run or may still run, and a second answer for a key, with lost, late
-// and duplicated messages, pauses, restarts and an unreliable table.
+// and duplicated messages, pauses, restarts and an unreliable table. The seed
+// is one with which the removal of each mechanism is found; give -rapid.seed
+// and -rapid.checks for other and longer runs.
 func TestModel(t *testing.T) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "150"} {
+	for name, value := range map[string]string{"rapid.seed": "2", "rapid.checks": "200"} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			assert.NilError(t, f.Value.Set(value))
 		}
