Keep one event for all deadlines in the experiment

Ruled out: sweeping in steps (requests would expire late). Change: requests wait in order of their deadlines behind one event.

--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -54,6 +54,10 @@
 	// burst multiplies the arrival rate.
 	burst float64
 
+	// waiting holds requests in the order of their deadlines; one event stands
+	// for all of them, so that the heap stays small.
+	waiting []*request
+
 	next             uint64
 	latencies        []time.Duration
 	lookups          []time.Duration // latencies of idempotent requests
@@ -110,7 +114,7 @@
 	}
 	w.next++
 	w.requests++
-	w.after(deadline, r.expire)
+	w.watch(r)
 	if !r.send(false) {
 		r.finish(routing.Refused)
 		return
@@ -118,6 +122,25 @@
 	w.hedger.watch(r)
 }
 
+// watch gives the request up at its deadline.
+func (w *world) watch(r *request) {
+	w.waiting = append(w.waiting, r)
+	if len(w.waiting) == 1 {
+		w.after(deadline, w.expire)
+	}
+}
+
+// expire gives up the first request and waits for the next one that runs.
+func (w *world) expire() {
+	w.waiting[0].expire()
+	for len(w.waiting) > 0 && w.waiting[0].done {
+		w.waiting = w.waiting[1:]
+	}
+	if len(w.waiting) > 0 {
+		w.after(w.waiting[0].arrived+deadline-w.now, w.expire)
+	}
+}
+
 // reachable returns the entry that serves the callers of a lost entry: one of
 // the same region if possible.
 func (w *world) reachable(entry int) int {
