Quarantine requests that crash backend servers, on all nodes of the service

Cause: a request that crashes its server crashed 5 of 5 servers in the test. The body of an answer that is cut short counts too.

--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -2,13 +2,188 @@
 
 import (
 	"context"
+	"sync"
 	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/node"
+	"github.com/vanillasail/vanillasail/pkg/budget"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/member"
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
+)
+
+const (
+	kindIncident  = "incident"
+	kindRelease   = "release"
+	kindIncidents = "incidents"
+	// spreadTimeout bounds how long the failure of the requests in flight is
+	// kept from their callers while other nodes learn of the crash.
+	spreadTimeout = 500 * time.Millisecond
+	// maxSpread bounds the messages that are under way at once.
+	maxSpread = 32
+	// suspectPause is how often a suspect asks again whether it may run.
+	suspectPause = 10 * time.Millisecond
+	// maxJoinAsked is how many nodes a new node asks for incidents.
+	maxJoinAsked = 3
 )
 
-// crashWatch finds requests that crash backend servers.
-type crashWatch struct{}
+// crashWatch finds requests that crash backend servers and keeps them from
+// running again, together with the other nodes.
+type crashWatch struct {
+	common
+	table   quarantine.Table
+	members *membership
+	node    *node.Transport
+	limits  *budget.Limiter
+
+	mu sync.Mutex
+	// reporting is closed when the newest report has ended; nil before the first.
+	reporting chan struct{}
+}
+
+func (c *crashWatch) controls(all map[string]node.ControlFunc) {
+	all[kindIncident] = func(_ context.Context, from string, body []byte) ([]byte, error) {
+		var i quarantine.Incident
+		if err := msgpack.Unmarshal(body, &i); err != nil || !i.Valid() {
+			return nil, fault.New(fault.KindBadRequest, "incident from node %s is not valid", from)
+		}
+		c.table.Merge(i, time.Now())
+		return nil, nil
+	}
+	all[kindRelease] = func(_ context.Context, from string, body []byte) ([]byte, error) {
+		var r quarantine.Release
+		if err := msgpack.Unmarshal(body, &r); err != nil {
+			return nil, fault.New(fault.KindBadRequest, "release from node %s is not valid", from)
+		}
+		c.table.Release(r, time.Now())
+		return nil, nil
+	}
+	all[kindIncidents] = func(context.Context, string, []byte) ([]byte, error) {
+		return msgpack.Marshal(c.table.Incidents(time.Now(), nil))
+	}
+}
+
+// check refuses a quarantined request before it waits for a slot.
+func (c *crashWatch) check(r call.Request, print quarantine.Fingerprint) error {
+	if c.table.Check(print, time.Now()) == quarantine.Refuse {
+		return c.refusal(r)
+	}
+	return nil
+}
+
+func (c *crashWatch) refusal(r call.Request) error {
+	return fault.New(fault.KindQuarantined, "requests with the content of %s crashed two backend servers", r.ID)
+}
+
+// begin starts the request. A suspect waits until no other suspect runs here.
+func (c *crashWatch) begin(ctx context.Context, r call.Request, print quarantine.Fingerprint) (quarantine.Start, error) {
+	for {
+		start, ok := c.table.Begin(print, time.Now())
+		if ok {
+			return start, nil
+		}
+		if start.Verdict == quarantine.Refuse {
+			return start, c.refusal(r)
+		}
+		if !sleepContext(ctx, suspectPause) {
+			return start, fault.New(fault.KindDeadline, "the request may run only without other suspects of a crash, and its deadline came first").
+				WithOutcome(fault.Refused)
+		}
+	}
+}
+
+// end ends a request; one that was answered is no suspect any more.
+func (c *crashWatch) end(start quarantine.Start, answered bool) {
+	release, released := c.table.End(start, answered, time.Now())
+	if !released {
+		return
+	}
+	body, err := msgpack.Marshal(release)
+	if err == nil {
+		go c.spread(context.Background(), kindRelease, body, c.members.protocol.Own().Service)
+	}
+}
+
+// report tells the other nodes of the service about a crash. All requests that
+// were in flight wait for the one report before their failure is told.
+func (c *crashWatch) report(ctx context.Context, service string) {
+	c.mu.Lock()
+	incident := c.table.Crash(c.ID, time.Now())
+	if !incident.Valid() {
+		wait := c.reporting
+		c.mu.Unlock()
+		if wait != nil {
+			<-wait
+		}
+		return
+	}
+	done := make(chan struct{})
+	c.reporting = done
+	c.mu.Unlock()
+	defer close(done)
+	c.Log.WithField("node", c.ID).WithField("service", service).WithField("requests", len(incident.Prints)).
+		Error("backend server crashed")
+	body, err := msgpack.Marshal(incident)
+	if err == nil {
+		c.spread(ctx, kindIncident, body, service)
+	}
+}
+
+// spread sends a message to the nodes of a service and waits for their replies.
+func (c *crashWatch) spread(ctx context.Context, kind string, body []byte, service string) {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, maxSpread)
+	for _, m := range c.members.protocol.Table().Members() {
+		if m.ID == c.ID || m.Service != service || !c.allowed(m, len(body)) {
+			continue
+		}
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			_, _ = c.node.Control(ctx, peerOf(m), kind, body)
+		})
+	}
+	wg.Wait()
+}
+
+func (c *crashWatch) allowed(m member.Member, size int) bool {
+	return c.limits.Allow(budget.Control, size, time.Now(), budget.Link(c.Region, m.Region))
+}
+
+// join learns the incidents that a few other nodes know.
+func (c *crashWatch) join(ctx context.Context) {
+	asked := 0
+	for _, m := range c.members.protocol.Table().Members() {
+		if m.ID == c.ID || asked == maxJoinAsked {
+			continue
+		}
+		asked++
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		reply, err := c.node.Control(ctx, peerOf(m), kindIncidents, nil)
+		cancel()
+		var known []quarantine.Incident
+		if err != nil || msgpack.Unmarshal(reply, &known) != nil {
+			continue
+		}
+		for _, i := range known {
+			c.table.Merge(i, time.Now())
+		}
+	}
+}
 
-func (c *crashWatch) check(context.Context, uint64, time.Time) error { return nil }
-func (c *crashWatch) begin(uint64)                                   {}
-func (c *crashWatch) end(uint64, bool)                               {}
-func (c *crashWatch) report(context.Context, string, string)         {}
+// sleepContext reports whether the time passed before ctx ended.
+func sleepContext(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/daemon/crash_watch_test.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// Guards against a request that crashes one backend server after another while
+// its caller sends it again through different nodes, and against innocent
+// requests being refused because they ran beside it.
+func TestRequestThatCrashesServers(t *testing.T) {
+	cases := map[string]struct{ method string }{
+		"idempotent":     {method: http.MethodGet},
+		"non-idempotent": {method: http.MethodPost},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t, 5)
+			stop := c.innocents(t)
+			var outcomes []string
+			for i := range 12 {
+				outcomes = append(outcomes, c.outcome(t, i%5, tc.method, "/stock/kill?crash=1"))
+			}
+			assert.Assert(t, slices.Contains(outcomes, "refused "+string(fault.KindQuarantined)), "outcomes %v", outcomes)
+			crashed := 0
+			for _, s := range c.servers {
+				crashed += s.Count("crash")
+			}
+			assert.Assert(t, crashed >= 1 && crashed <= 2, "%d servers crashed; outcomes %v", crashed, outcomes)
+			for _, kind := range stop() {
+				assert.Assert(t, kind != "refused "+string(fault.KindQuarantined), "an innocent request was quarantined")
+			}
+		})
+	}
+}
+
+// outcome sends a request and returns the outcome and, for a failure, its kind.
+func (c *cluster) outcome(t *testing.T, i int, method, uri string) string {
+	response, text, err := c.call(context.Background(), i, method, uri, nil, nil)
+	if err != nil {
+		t.Errorf("%s %s: %v", method, uri, err)
+		return ""
+	}
+	outcome := response.Header.Get("Outcome")
+	if _, kind, ok := strings.Cut(text, "urn:vanillasail:problem:"); ok {
+		kind, _, _ = strings.Cut(kind, "\"")
+		return outcome + " " + kind
+	}
+	return outcome
+}
+
+// innocents sends lookups through all nodes until stop, which returns their
+// outcomes.
+func (c *cluster) innocents(t *testing.T) (stop func() []string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var (
+		wg  sync.WaitGroup
+		mu  sync.Mutex
+		all []string
+	)
+	for i := range c.nodes {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				o := c.outcome(t, i, http.MethodGet, "/stock/item?delay=5")
+				mu.Lock()
+				all = append(all, o)
+				mu.Unlock()
+			}
+		})
+	}
+	stop = func() []string {
+		cancel()
+		wg.Wait()
+		return all
+	}
+	// A failed assertion must not leave callers behind on nodes that are gone.
+	t.Cleanup(func() { stop() })
+	return stop
+}
--- a/internal/daemon/far.go
+++ b/internal/daemon/far.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/backend"
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/retry"
 )
 
@@ -37,8 +36,8 @@
 	if _, err := f.ready(r); err != nil {
 		return nil, f.refused(r, f.load(), f.ID, err)
 	}
-	fingerprint := r.Fingerprint()
-	if err := f.crash.check(ctx, fingerprint, time.Now()); err != nil {
+	print := quarantine.Fingerprint(r.Fingerprint())
+	if err := f.crash.check(r, print); err != nil {
 		return nil, f.refused(r, f.load(), f.ID, err)
 	}
 	leave, err := f.gate.enter(ctx, r)
@@ -50,11 +49,15 @@
 		leave(false)
 		return nil, f.refused(r, f.load(), f.ID, err)
 	}
-	f.crash.begin(fingerprint)
+	start, err := f.crash.begin(ctx, r, print)
+	if err != nil {
+		leave(false)
+		return nil, f.refused(r, f.load(), f.ID, err)
+	}
 	answer, err := f.sendWithAllowance(ctx, server.Addr, r)
 	if err != nil {
 		err = f.failed(ctx, server, r, err)
-		f.crash.end(fingerprint, false)
+		f.crash.end(start, false)
 		leave(false)
 		return nil, err
 	}
@@ -62,9 +65,12 @@
 	f.gate.answered(answer, time.Now())
 	answer.Server = f.ID
 	answer.Load = f.load()
-	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() {
-		f.crash.end(fingerprint, true)
-		leave(true)
+	answer.Body = &trackedBody{ReadCloser: answer.Body, ended: func(whole bool, err error) {
+		if err != nil {
+			_ = f.failed(ctx, server, r, err)
+		}
+		f.crash.end(start, whole)
+		leave(whole)
 	}}
 	return answer, nil
 }
@@ -96,7 +102,9 @@
 // other nodes have had the chance to.
 func (f *far) failed(ctx context.Context, server announcement, r call.Request, err error) error {
 	typed := fault.As(err)
-	if typed.Kind != fault.KindServerLost && typed.Kind != fault.KindNoServer {
+	switch typed.Kind {
+	case fault.KindServerLost, fault.KindNoServer, fault.KindCutShort:
+	default:
 		return typed
 	}
 	if !backend.Refuses(context.WithoutCancel(ctx), server.Addr) {
@@ -105,7 +113,7 @@
 	f.local.crashed(server.Addr)
 	f.Log.WithField("server", server.Addr).WithField("service", r.Service).
 		WithField("id", r.ID).Warn("backend server refuses connections")
-	f.crash.report(context.WithoutCancel(ctx), f.ID, r.Service)
+	f.crash.report(context.WithoutCancel(ctx), r.Service)
 	return typed
 }
 
@@ -167,17 +175,3 @@
 func (f *far) stallAfter() time.Duration {
 	return max(minStall, stallFactor*f.gate.load().Latency)
 }
-
-// releasingBody runs release once when the body is closed.
-type releasingBody struct {
-	io.ReadCloser
-	release func()
-	once    sync.Once
-}
-
-// Close implements io.Closer.
-func (b *releasingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.once.Do(b.release)
-	return err
-}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -77,6 +77,8 @@
 	n.peers.ID, n.peers.MaxBody, n.peers.Credentials = n.ID, n.MaxBody, n.Credentials
 	n.peers.Calls = peerCalls{shards: &n.shards, far: &n.far}
 	n.peers.Controls = make(map[string]node.ControlFunc)
+	n.far.crash.common, n.far.crash.members, n.far.crash.node, n.far.crash.limits = shared, &n.members, &n.peers, &n.limits
+	n.far.crash.controls(n.peers.Controls)
 	n.config.controls(n.peers.Controls)
 	n.shards.assemble(n)
 	n.observed.assemble(n)
@@ -151,6 +153,7 @@
 	n.members.announce(now, n.local.get(), n.far.stopping.Load())
 	n.members.tick(now)
 	n.shards.tick(now)
+	n.far.crash.table.Tick(now)
 	n.routes.Tick(now)
 	n.observed.history.Tick(now, uint64(n.config.Version()))
 }
@@ -163,9 +166,13 @@
 	}
 	tick := time.NewTicker(followInterval)
 	defer tick.Stop()
-	for {
+	for joined := false; ; {
 		select {
 		case <-tick.C:
+			if !joined && n.members.protocol.Table().Len() > 1 {
+				joined = true
+				n.far.crash.join(ctx)
+			}
 			n.config.follow(ctx, time.Now())
 			if err := n.members.announcer.Refresh(ctx, time.Now()); err != nil {
 				n.Log.WithError(err).WithField("node", n.ID).Debug("member row not refreshed")
