Bound the fingerprints of an incident while it is decoded

Cause: FuzzIncident stopped at a message of 22 bytes whose list claims 808 million fingerprints. msgpack v5.4.1 allocates slices at the claimed length: decodeSliceValue compares a flag with 1 that it never equals, so the library's limit of a million elements does not apply. Ruled out: a check after decoding, which comes too late. Conclusion: other messages between nodes that hold slices need a bound too.

--- a/pkg/quarantine/bench_test.go
+++ b/pkg/quarantine/bench_test.go
@@ -74,6 +74,14 @@
 	assert.Equal(t, node.Check(99, start), Run)
 }
 
+// Guards against a short message that claims a length for which the decoder
+// allocates gigabytes.
+func TestClaimedLengthIsBounded(t *testing.T) {
+	var i Incident
+	err := msgpack.Unmarshal([]byte("\x81\xa1f\xdd\x30\x30\x30\x30"), &i)
+	assert.ErrorContains(t, err, "808464432 fingerprints are over the limit")
+}
+
 // Guards against incidents from another node that panic, grow the table beyond
 // its bounds, or change on the way.
 func FuzzIncident(f *testing.F) {
--- a/pkg/quarantine/incident.go
+++ b/pkg/quarantine/incident.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Fingerprint is a hash of a request's service, method, URI and body.
@@ -26,7 +28,7 @@
 	ID     uint64 `msgpack:"i"`
 	Server string `msgpack:"s"`
 	// Prints were in flight at the crash, without repetition.
-	Prints []Fingerprint `msgpack:"f"`
+	Prints Prints `msgpack:"f"`
 	// Lone is the only one in flight that had been in a crash before it was
 	// started, so it is taken for the cause. Zero means none.
 	Lone Fingerprint `msgpack:"l,omitempty"`
@@ -35,6 +37,31 @@
 	Age time.Duration `msgpack:"a,omitempty"`
 }
 
+// Prints are fingerprints on the wire.
+type Prints []Fingerprint
+
+// DecodeMsgpack implements msgpack.CustomDecoder. The library allocates a slice
+// at the length that the message claims before it reads an element; a message
+// of 22 bytes can claim 808 million.
+func (p *Prints) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n > MaxPrints {
+		return eris.Errorf("%d fingerprints are over the limit of %d", n, MaxPrints)
+	}
+	*p = make(Prints, max(n, 0))
+	for i := range *p {
+		f, err := d.DecodeUint64()
+		if err != nil {
+			return err
+		}
+		(*p)[i] = Fingerprint(f)
+	}
+	return nil
+}
+
 // WithAge returns a copy with another age.
 func (i Incident) WithAge(d time.Duration) Incident {
 	i.Age = d
