Keep the later deadline of two requests that share an ID

Cause: callers choose their request IDs, so two unrelated requests on one server can share an account of the ledger; the calls of the second took the first's deadline. Ruled out: an account for each request, since the server's own calls name only the ID. Change: the account keeps the later deadline and the larger hop. Seen failing: without it the borrowed deadline was the earlier one; with Close returning the retries while another request is open, '2 != 0'. Conclusion: a shared ID neither creates retries nor shortens a deadline.

--- a/pkg/retry/ledger.go
+++ b/pkg/retry/ledger.go
@@ -28,8 +28,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if known := l.accounts[id]; known != nil {
-		known.open++
-		known.add(a.Retries)
+		known.join(a)
 		return true
 	}
 	if len(l.accounts) >= maxAccounts {
@@ -83,4 +82,15 @@
 	return k.Retries
 }
 
+// join adds another request with the same ID. Callers choose the IDs, so the
+// two may be unrelated, and neither may shorten the other's calls.
+func (k *account) join(a Allowance) {
+	k.open++
+	k.add(a.Retries)
+	k.Hop = max(k.Hop, a.Hop)
+	if a.Deadline.IsZero() || !k.Deadline.IsZero() && a.Deadline.After(k.Deadline) {
+		k.Deadline = a.Deadline
+	}
+}
+
 func (k *account) add(n uint8) { k.Retries = uint8(min(int(k.Retries)+int(n), 255)) }
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -173,3 +173,19 @@
 	assert.Equal(t, b.Grant(start, start).Retries, uint8(grant))
 	assert.Assert(t, len(tries.Tried(nil)) <= MaxAttempts)
 }
+
+// Guards against two running requests with one ID that create retries, or
+// shorten each other's deadline.
+func TestLedgerSharesOneID(t *testing.T) {
+	var l Ledger
+	l.Open("id", Allowance{Retries: 1, Hop: 2, Deadline: start})
+	l.Open("id", Allowance{Retries: 2, Hop: 1, Deadline: start.Add(time.Second)})
+	a, ok := l.Borrow("id")
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, a, Allowance{Retries: 2, Hop: 2, Deadline: start.Add(time.Second)})
+	l.Return("id", a.WithRetries(1))
+	assert.Equal(t, l.Close("id"), uint8(0))
+	assert.Equal(t, l.Close("id"), uint8(2))
+	_, ok = l.Borrow("id")
+	assert.Assert(t, !ok)
+}
