Test delayed releases and pauses of at-most-once records

Change: two scripted cases; the test over transports marks the stopped owner as gone, so that it does not wait 2 s for messages to it.

--- a/internal/owner/transport_test.go
+++ b/internal/owner/transport_test.go
@@ -46,7 +46,7 @@
 	s, owner, _, third := c.pair(t, "k")
 	c.settled()
 	assert.NilError(t, owner.Network.(*node.Transport).Close(t.Context()))
-	c.setStatus(s.Owner, once.Dead)
+	c.setStatus(s.Owner, once.Gone)
 	for _, n := range c.nodes {
 		if n != owner {
 			n.Repair(t.Context())
--- a/pkg/once/keeper_test.go
+++ b/pkg/once/keeper_test.go
@@ -27,22 +27,6 @@
 	return Shard{Service: service, Epoch: 1, Owner: owner, Backup: backup}
 }
 
-// copyTo transfers all records of a shard.
-func copyTo(t testing.TB, from, to *Keeper, s Shard, limit int) {
-	t.Helper()
-	transfer := from.Transfer(s)
-	for {
-		chunk, ok := transfer.Next(limit, time.Now())
-		if !ok {
-			break
-		}
-		_, verdict := to.Import(chunk, time.Now())
-		assert.Equal(t, verdict, VerdictAccepted)
-	}
-	transfer.Done()
-	assert.Assert(t, from.Synced(s))
-}
-
 // TestFence guards against a backup that accepts a claim or a chunk of an
 // epoch that is over, with which a paused owner could run a key again.
 func TestFence(t *testing.T) {
@@ -76,6 +60,25 @@
 	}
 }
 
+// TestDelayedRelease guards against the release of one attempt that frees the
+// key of the next attempt, which may be running.
+func TestDelayedRelease(t *testing.T) {
+	now, s := time.Now(), first(a1, b1)
+	b := keeper(b1, s)
+	b.Import(Chunk{Shard: s, ID: 1, Last: true}, now)
+	earlier := Claim{Service: service, Epoch: 1, Seq: 1, Key: sameShard(1)[0], Digest: 1}
+	later := earlier
+	later.Seq = 2
+	for _, c := range []Claim{earlier, later} {
+		_, verdict := b.Claim(c, now)
+		assert.Equal(t, verdict, VerdictAccepted)
+	}
+	b.Settle(Settlement{Claim: earlier, Outcome: OutcomeReleased}, now)
+	b.Adopt(s.WithPromotion(Ref{}), 0, now)
+	_, verdict := b.Begin(service, later.Key, 1, now)
+	assert.Equal(t, verdict, VerdictUnknown)
+}
+
 // TestBounds guards against memory that grows past the bounds and against an
 // eviction inside the window, after which a key could run again.
 func TestBounds(t *testing.T) {
@@ -96,6 +99,9 @@
 	assert.Assert(t, r.Answer == nil, "the oldest answer is dropped first")
 	_, answers := k.Size()
 	assert.Equal(t, answers, 8)
+	now = now.Add(time.Hour) // a pause does not age the records
+	_, verdict = k.Begin(service, keys[0], 1, now)
+	assert.Equal(t, verdict, VerdictFinished)
 	for range Window/time.Second + 90 {
 		now = now.Add(time.Second)
 		k.Tick(now)
