Refuse streams that arrive after a transport has begun to close

Ruled out: closing the listener first, which would cut the connections of requests in flight. Change: a stream is counted under the transport's lock and refused as stopped, hence not run, once closed is set. Conclusion: Close waits exactly for the streams that were accepted before it.

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -37,7 +37,10 @@
 		if err != nil {
 			return
 		}
-		t.streams.Add(1)
+		if !t.enter() {
+			refuse(stream, fault.New(fault.KindStopped, "node %s is stopping", t.ID))
+			continue
+		}
 		go func() {
 			defer t.streams.Done()
 			t.serve(stream)
@@ -45,6 +48,17 @@
 	}
 }
 
+// enter counts a stream as in flight unless Close has begun to wait for them.
+func (t *Transport) enter() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.streams.Add(1)
+	return true
+}
+
 func (t *Transport) serve(stream *quic.Stream) {
 	reader := bufio.NewReaderSize(stream, readBufferSize)
 	var head requestHead
