--- a/internal/evidence/decision.go
+++ b/internal/evidence/decision.go
@@ -75,8 +75,8 @@
 	return Lost
 }
 
-// Decision is one step of a request at one node. It has a fixed size; its texts
-// are shared with the request.
+// Decision is one step of a request at one node. It has a fixed size; Request is
+// shared with the request, which may have 200 bytes for it.
 type Decision struct {
 	Request, Service, Class, Tenant string
 	Action                          Action
--- a/internal/evidence/ring.go
+++ b/internal/evidence/ring.go
@@ -1,6 +1,7 @@
 package evidence
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +11,13 @@
 // Kept is the number of decisions that a node keeps.
 const Kept = 4096
 
+const (
+	// maxNames bounds the names of services, classes and tenants that decisions
+	// share; maxName bounds the length of one, as for labels of requests.
+	maxNames = 1024
+	maxName  = 64
+)
+
 // Step names a decision in a ring. The zero value names none.
 type Step uint64
 
@@ -21,6 +29,8 @@
 	entries []Decision
 	// last is the newest step, and the number of decisions ever recorded.
 	last Step
+	// names holds one copy of each name, at most maxNames.
+	names map[string]string
 }
 
 // Begin records a decision; the oldest one is overwritten when the ring is full.
@@ -28,8 +38,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.entries == nil {
-		r.entries = make([]Decision, Kept)
+		r.entries, r.names = make([]Decision, Kept), make(map[string]string)
 	}
+	d.Service, d.Class, d.Tenant = r.name(d.Service), r.name(d.Class), r.name(d.Tenant)
 	r.last++
 	*r.at(r.last) = d
 	return r.last
@@ -47,6 +58,20 @@
 	d.Result, d.Kind, d.Latency = result, kind, latency
 }
 
+// name returns the ring's own copy of a name. The service is part of the path of
+// a request, so a decision that kept it would keep a URI of up to 64 KB.
+func (r *Ring) name(s string) string {
+	s = s[:min(len(s), maxName)]
+	if own, ok := r.names[s]; ok {
+		return own
+	}
+	own := strings.Clone(s)
+	if len(r.names) < maxNames {
+		r.names[own] = own
+	}
+	return own
+}
+
 func (r *Ring) at(s Step) *Decision { return &r.entries[(s-1)%Kept] }
 
 // Recent returns up to n decisions that match, newest first.
--- a/internal/evidence/ring_test.go
+++ b/internal/evidence/ring_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -54,6 +56,26 @@
 	assert.Equal(t, testing.AllocsPerRun(100, func() { r.End(r.Begin(d), Answered, "", time.Millisecond) }), 0.0)
 }
 
+// Guards against decisions that keep the whole URI of their requests, 64 KB each,
+// in memory.
+func TestRingDoesNotKeepRequests(t *testing.T) {
+	var r Ring
+	r.Begin(Decision{})
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range Kept {
+		path := fmt.Sprint("stock", i) + strings.Repeat("/long", 4096)
+		r.Begin(Decision{Service: path[:5+i%2], Class: path[:9], Tenant: path})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	grown := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	assert.Assert(t, grown < 2<<20, "%d bytes", grown)
+	assert.Equal(t, len(r.names), maxNames)
+	assert.Equal(t, r.Recent(1, nil)[0].Class, "stock4095")
+}
+
 func BenchmarkRingRecord(b *testing.B) {
 	var r Ring
 	d := Decision{Request: "id", Service: "stock"}
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -22,6 +22,8 @@
 	maxPairs    = 64
 	maxSeries   = 256
 	maxServices = 64
+	// maxValue bounds the bytes of one label value.
+	maxValue = 64
 )
 
 // Registry holds the metrics of a node. The zero value is empty and ready.
@@ -130,9 +132,12 @@
 	return s
 }
 
-// valid returns a copy, which does not keep the memory of a request, without
-// bytes that are not UTF-8: one such value would fail a whole scrape.
-func valid(text string) string { return strings.Clone(strings.ToValidUTF8(text, "?")) }
+// valid returns a copy of at most maxValue bytes, which does not keep the memory
+// of a request, without bytes that are not UTF-8: one such value would fail a
+// whole scrape.
+func valid(text string) string {
+	return strings.Clone(strings.ToValidUTF8(text[:min(len(text), maxValue)], "?"))
+}
 
 // bounded returns the label itself if there is room for it.
 func (r *Registry) bounded(l Label) Label {
