Count malformed requests and check that every metric is wired

Cause: requests refused while their headers are parsed reached no observer, so they were missing in vanillasail_refusals_total; no test showed that a running node exports all metrics of the reference.

Ruled out: their own labels, because nothing has checked them.

Change: caller.Server observes them too, and the registry counts them under "other". A daemon test compares the scrape of a node with the golden names.

Conclusion: every documented metric is exported by a running node.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -15,7 +15,8 @@
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
-// Observer sees every answered request.
+// Observer sees every answered request. Of a request that could not be parsed,
+// some fields are empty.
 type Observer interface {
 	Answered(r call.Request, status int, err error, took time.Duration)
 }
@@ -49,7 +50,9 @@
 	start := time.Now()
 	r, err := parse(hr, body, s.Rules, start)
 	if err != nil {
-		return respondFault(fault.As(err), r.ID)
+		f := fault.As(err)
+		s.observe(r, f.Status, f, start)
+		return respondFault(f, r.ID)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	answer, err := s.Calls.Serve(ctx, r)
--- a/internal/daemon/evidence_test.go
+++ b/internal/daemon/evidence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -77,6 +78,29 @@
 	assert.Assert(t, strings.Contains(c.scrape(t, 0), `vanillasail_refusals_total{class="default",kind="draining",service="stock",tenant="default"} 1`))
 }
 
+// Guards against a metric that is documented and not wired, and against requests
+// that are refused before placement and not counted.
+func TestScrapeHasAllMetrics(t *testing.T) {
+	c := startCluster(t, 2)
+	assert.Equal(t, c.get(t, 0, "scraped"), http.StatusOK)
+	response, _, err := c.call(context.Background(), 0, http.MethodGet, "/stock/item", http.Header{"Request-Timeout": {"soon"}}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+	names, err := os.ReadFile("../metrics/testdata/names.golden")
+	assert.NilError(t, err)
+	text := c.scrape(t, 0)
+	for line := range strings.Lines(string(names)) {
+		assert.Assert(t, strings.Contains(text, line), "%s is missing in\n%s", line, text)
+	}
+	for _, want := range []string{
+		"200text/plain; version=0.0.4", `vanillasail_server_slots 12`, `vanillasail_members 2`,
+		`vanillasail_refusals_total{class="other",kind="bad-request",service="other",tenant="other"} 1`,
+		`vanillasail_decisions_total{action="place",service="stock"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(text, want), "%s is missing in\n%s", want, text)
+	}
+}
+
 func (c *cluster) scrape(t *testing.T, i int) string {
 	t.Helper()
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+c.nodes[i].OperatorAddr()+"/metrics", nil)
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -53,8 +53,8 @@
 	return r.all
 }
 
-// Answered implements caller.Observer. It counts requests for services that do
-// not exist under Other, because their names come from callers.
+// Answered implements caller.Observer. It counts malformed requests and those for
+// services that do not exist under Other, because their labels are not checked.
 func (r *Registry) Answered(q call.Request, _ int, err error, took time.Duration) {
 	outcome, kind := fault.Ran, fault.Kind("")
 	if err != nil {
@@ -62,7 +62,7 @@
 		outcome, kind = f.Outcome, f.Kind
 	}
 	label := Label{q.Service, q.Class, q.Tenant}
-	if kind == fault.KindUnknownService {
+	if kind == fault.KindUnknownService || kind == fault.KindBadRequest {
 		label = Label{Other, Other, Other}
 	}
 	s := r.series(label)
