--- a/pkg/member/digest.go
+++ b/pkg/member/digest.go
@@ -26,13 +26,14 @@
 
 // hashRecord covers what determines a record. Incarnation and sequence stand
 // for all that the member itself announced; Config travels with each message
-// and is left out, since a configuration change would make all tables differ.
+// and is left out, since a configuration change would make all tables differ;
+// so is suspicion, which only the monitors of a member know.
 func hashRecord(m *Member) uint32 {
 	b := make([]byte, 0, 64)
 	b = append(b, m.ID...)
 	b = binary.BigEndian.AppendUint64(b, m.Incarnation)
 	b = binary.BigEndian.AppendUint64(b, m.Seq)
-	b = append(b, byte(m.State))
+	b = append(b, byte(m.Own))
 	return uint32(xxhash.Sum64(b))
 }
 
@@ -73,7 +74,13 @@
 		if bucket(e) != i || e.tombstone() && t.clock-e.since > tombstoneSend {
 			continue
 		}
-		records = append(records, e.Member)
+		m := e.Member
+		if e.replaced {
+			// The receiver may not know the successor.
+			dead := m.WithState(StateDead)
+			m = &dead
+		}
+		records = append(records, m)
 	}
 	slices.SortFunc(records, func(a, b *Member) int { return strings.Compare(a.ID, b.ID) })
 	return records
--- a/pkg/member/news.go
+++ b/pkg/member/news.go
@@ -33,7 +33,7 @@
 // size is an upper bound of the item's bytes on the wire.
 func (i *item) size() int {
 	if !i.full {
-		return len(i.member.ID) + 32
+		return len(i.member.ID) + 26
 	}
 	return recordSize(&i.member)
 }
@@ -122,6 +122,9 @@
 	p.news.hints = max(p.news.hints-nearFanout-farFanout, 0)
 	targets := random(p.Rand, p.peers.near, nearFanout, "")
 	targets = append(targets, random(p.Rand, p.peers.far, nearFanout+farFanout-len(targets), "")...)
+	// In random order, so that a node short of bytes does not always leave the
+	// other regions out.
+	p.Rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	for n, m := range targets {
 		if n > 0 && !p.pacer.allows() {
 			return n
--- a/pkg/member/peers.go
+++ b/pkg/member/peers.go
@@ -49,7 +49,6 @@
 	s.names = slices.Sorted(maps.Keys(s.regions))
 	p.peers = s
 	p.cross.follow(s.names, p.clock)
-	p.rounds.follow(s.watched(), p.clock, p.Rand)
 }
 
 func (s *peers) add(e entry, region string, cut bool) {
@@ -72,9 +71,6 @@
 	s.all = append(s.all, e.Member)
 }
 
-// watched returns the members that this node monitors.
-func (s *peers) watched() []*Member { return s.near[:min(monitors, len(s.near))] }
-
 // within returns a random duration below the limit.
 func within(r *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(limit)))
--- a/pkg/member/protocol_test.go
+++ b/pkg/member/protocol_test.go
@@ -132,6 +132,22 @@
 	}
 }
 
+// Guards against a row of a member that was replaced by another ID: when the
+// successor is dead too, a node that reads the row would keep the old one.
+func TestOldRowOfReplacedMember(t *testing.T) {
+	n := cluster(seed(t), 10, 2)
+	rows := n.hosts[0].Table().Members()
+	m := n.hosts[3].Own().WithIncarnation(n.hosts[3].Own().Incarnation + 1)
+	m.ID = "successor"
+	n.start(m, n.hosts[0].addr)
+	n.run(promise)
+	n.byAddr[m.Addr].down = true
+	n.run(promise)
+	n.start(n.record(10, 2)).Learn(n.now, rows)
+	took, ok := n.until(promise, n.complete)
+	assert.Assert(t, ok, "the old member is still known after %v", took)
+}
+
 // Guards against members that are forgotten or declared dead because a link is
 // cut, and against a burst of traffic when it comes back.
 func TestCutRegionGoesOnAndRejoins(t *testing.T) {
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -83,7 +83,7 @@
 	if !known || m.Incarnation != v.Incarnation || m.Seq != v.Seq || v.State.rank() == 0 {
 		return
 	}
-	if m = m.WithState(v.State); p.table.Merge(m) {
+	if m = m.WithState(v.State); p.table.Merge(m) && v.State == StateDead {
 		p.news.addVerdict(m)
 	}
 }
