--- a/internal/owner/controller_test.go
+++ b/internal/owner/controller_test.go
@@ -169,6 +169,7 @@
 	cases := map[string]struct {
 		lose        func(c *cluster, s once.Shard)
 		old, fresh  fault.Kind
+		reset       bool
 		storeOutage fault.Kind
 	}{
 		"owner dead":  {lose: func(c *cluster, s once.Shard) { c.setStatus(s.Owner, once.Dead) }, storeOutage: fault.KindUnreachable},
@@ -177,6 +178,10 @@
 			c.setStatus(s.Owner, once.Gone)
 			c.setStatus(s.Backup, once.Gone)
 		}, old: fault.KindOutcomeUnknown, fresh: fault.KindOutcomeUnknown, storeOutage: fault.KindNoOwner},
+		"both dead and reset": {lose: func(c *cluster, s once.Shard) {
+			c.setStatus(s.Owner, once.Dead)
+			c.setStatus(s.Backup, once.Dead)
+		}, old: fault.KindOutcomeUnknown, fresh: fault.KindOutcomeUnknown, storeOutage: fault.KindUnreachable, reset: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -189,6 +194,9 @@
 			fresh := sameShard(s)
 			third.expect(t, tc.storeOutage, request(fresh))
 			c.table.set(false, true)
+			if tc.reset {
+				assert.NilError(t, third.Reset(t.Context(), "orders", s.Index))
+			}
 			// All nodes tick, as they do every second.
 			for range 3 {
 				for _, n := range c.nodes {
@@ -216,14 +224,28 @@
 }
 
 // TestPausedOwner guards against an owner that runs a key although the backup
-// has taken its shard over.
+// has taken its shard over, and against an entry node that knows only the old
+// owner.
 func TestPausedOwner(t *testing.T) {
-	c := newCluster(t, "a1", "b1", "c1")
+	c := newCluster(t, "a1", "b1", "c1", "d1")
 	c.nodes["a1"].expect(t, "", request("k"))
 	s, owner, backup, _ := c.pair(t, "k")
+	for _, n := range c.nodes {
+		_, err := n.load(t.Context(), "orders", time.Time{})
+		assert.NilError(t, err)
+	}
+	c.settled() // the backup has the answer
 	c.setStatus(s.Owner, once.Dead)
 	backup.Repair(t.Context())
 	c.settled()
+	next, _ := backup.Keeper.Shard("orders", s.Index)
+	for _, n := range c.nodes {
+		if n != owner && !next.Has(n.Keeper.Self) {
+			_, answer := n.expect(t, "", request("k"))
+			assert.Assert(t, answer.Replayed)
+		}
+	}
+	c.settled()
 	c.table.set(true, false) // so that the shard does not move back
 	c.setStatus(s.Owner, once.Alive)
 	stale := request(sameShard(s)).WithEpoch(s.Epoch)
--- a/internal/owner/repair.go
+++ b/internal/owner/repair.go
@@ -46,12 +46,18 @@
 // Repair makes one round over the maps in use: it refreshes old ones, writes
 // the changes that this node may write, and copies records to new backups.
 func (c *Controller) Repair(ctx context.Context) {
+	c.copyRecords(ctx)
 	for _, service := range c.rows.names() {
 		m, err := c.load(ctx, service, c.now().Add(-pollPeriod))
-		if err == nil {
-			c.repairMap(ctx, m)
+		if err != nil {
+			return // without the store nothing can be changed
 		}
+		c.repairMap(ctx, m)
 	}
+	c.copyRecords(ctx)
+}
+
+func (c *Controller) copyRecords(ctx context.Context) {
 	for _, s := range c.Keeper.Unsynced() {
 		if err := c.transfer(ctx, s); err != nil {
 			logShard(s).WithError(err).Warn("records were not copied to the backup; new keys of the shard are refused")
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -24,6 +24,9 @@
 	// etag is empty when the row was never read or is known to be stale.
 	etag string
 	read time.Time
+	// failed and failure are the last failed read; failed is zero without one.
+	failed  time.Time
+	failure error
 }
 
 func (rs *rows) row(service string) *row {
@@ -59,7 +62,24 @@
 func (rs *rows) set(r *row, m once.Map, etag string, now time.Time) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	r.m, r.etag, r.read = m, etag, now
+	r.m, r.etag, r.read, r.failed = m, etag, now, time.Time{}
+}
+
+// cached returns the map if it was read after the given time, or the error of
+// a read that failed after it.
+func (rs *rows) cached(r *row, after time.Time) (m once.Map, ok bool, err error) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if len(r.m.Shards) > 0 && r.read.After(after) {
+		return r.m, true, nil
+	}
+	return once.Map{}, r.failed.After(after), r.failure
+}
+
+func (rs *rows) fail(r *row, err error, now time.Time) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	r.failed, r.failure = now, err
 }
 
 func (rs *rows) stale(r *row) {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -12,23 +12,40 @@
 // the given time, else the table's. The first node that needs a map creates it.
 func (c *Controller) load(ctx context.Context, service string, after time.Time) (once.Map, error) {
 	r := c.rows.row(service)
-	if m, _, read := c.rows.get(r); len(m.Shards) > 0 && read.After(after) {
+	if m, ok, err := c.rows.cached(r, after); ok && err == nil {
 		return m, nil
 	}
+	asked := c.now()
 	if err := r.lock(ctx); err != nil {
 		return once.Map{}, noMap(service, err)
 	}
 	defer r.unlock()
-	if m, _, read := c.rows.get(r); len(m.Shards) > 0 && read.After(after) {
-		return m, nil
+	// Whoever held the row before may have read it meanwhile. With a store that
+	// hangs, the requests that waited share one failure.
+	if m, ok, err := c.rows.cached(r, later(after, asked.Add(-failureShare))); ok {
+		return m, err
 	}
 	m, err := c.read(ctx, service, r)
 	if err != nil {
-		return once.Map{}, noMap(service, err)
+		err = noMap(service, err)
+		if ctx.Err() == nil {
+			c.rows.fail(r, err, c.now())
+		}
+		return once.Map{}, err
 	}
 	return m, nil
 }
 
+// failureShare is how long a failed read of the table answers for the next.
+const failureShare = 500 * time.Millisecond
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func noMap(service string, err error) error {
 	return fault.New(fault.KindNoOwner, "owner of the key is not known: table row %s cannot be read: %v", once.Row(service), err)
 }
