--- a/pkg/routing/observe.go
+++ b/pkg/routing/observe.go
@@ -81,8 +81,7 @@
 	}
 }
 
-// back takes a server in again: it ramps up like a cold one, because the
-// nodes all return to it at about the same time.
+// back takes a server in again and forgets how slow it was.
 func (p *pool) back(e *entry) {
 	for i, x := range p.out {
 		if x == e {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -25,7 +25,8 @@
 }
 
 // Upsert adds a server or changes its announced data. What was learned about
-// a known server is kept.
+// a known server is kept; one that restarted is removed first, so that it
+// starts cold.
 func (t *Table) Upsert(s Server, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
