Explain resent keys: replays and the refusals of a key's owner

Cause: with at-most-once records in place, a resend is answered by the owner of its key without a decision of placement, so explain knew nothing of it and vanillasail_decisions_total had no replay.

Ruled out: recording at the owner, because internal/owner knows neither the ring nor the metrics, and the entry node sees every such answer.

Change: the entry node records a replay, and a refusal with the kinds of the at-most-once path; other ends are recorded where the request was placed.

--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -65,6 +65,24 @@
 	return err
 }
 
+// keyed records a kept answer that was given again, and what the owner of a key
+// refused. Other ends of a keyed request are recorded where it was placed.
+func (j journal) keyed(r call.Request, answer *call.Answer, err error) {
+	if err == nil {
+		if answer.Replayed && j.recorder != nil {
+			j.recorder.Begin(evidence.Decision{
+				Request: r.ID, Service: r.Service, Class: r.Class, Tenant: r.Tenant,
+				Action: evidence.Replay, Result: evidence.Replayed, At: time.Now(),
+			})
+		}
+		return
+	}
+	switch fault.As(err).Kind {
+	case fault.KindNoOwner, fault.KindStillRunning, fault.KindFinished, fault.KindOutcomeUnknown, fault.KindKeyReused:
+		_ = j.refused(r, call.Load{}, "", err)
+	}
+}
+
 // observation is the evidence of one node: its decisions, metrics and their
 // history.
 type observation struct {
--- a/internal/daemon/evidence_test.go
+++ b/internal/daemon/evidence_test.go
@@ -81,6 +81,30 @@
 	assert.Assert(t, strings.Contains(c.scrape(t, 0), `vanillasail_refusals_total{class="default",kind="draining",service="stock",tenant="default"} 1`))
 }
 
+// Guards against a resent key whose kept answer or refusal cannot be explained.
+func TestResentKeysAreExplained(t *testing.T) {
+	c := startCluster(t, 2)
+	send := func(i int, id, uri string) int {
+		header := http.Header{"Request-Id": {id}, "Idempotency-Key": {"order-7"}}
+		response, _, err := c.call(context.Background(), i, http.MethodPost, uri, header, nil)
+		assert.NilError(t, err)
+		return response.StatusCode
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status := send(0, "first", "/stock/order"); status != http.StatusOK {
+			return poll.Continue("status %d", status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(50*time.Millisecond))
+	assert.Equal(t, send(1, "again", "/stock/order"), http.StatusOK)
+	assert.Equal(t, send(1, "other", "/stock/other"), http.StatusUnprocessableEntity)
+	for id, want := range map[string]string{"first": "place  ", "again": "replay  ", "other": "key-reused  "} {
+		text, err := c.operate(t, 0, "explain "+id)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(text, want), "%s: %q is missing in\n%s", id, want, text)
+	}
+}
+
 // Guards against a metric that is documented and not wired, and against requests
 // that are refused before placement and not counted.
 func TestScrapeHasAllMetrics(t *testing.T) {
--- a/internal/daemon/shards.go
+++ b/internal/daemon/shards.go
@@ -25,12 +25,14 @@
 // shards runs keyed requests at most once.
 type shards struct {
 	owner.Controller
+	journal
 	keeper once.Keeper
 	ticked time.Time
 }
 
 func (s *shards) assemble(n *Node) {
 	s.Keeper = &s.keeper
+	s.journal = journal{&n.observed}
 	s.Members = shardMembers{&n.members}
 	s.Network = &n.peers
 	s.Table = shardRows{n.tableClient()}
@@ -38,6 +40,16 @@
 	maps.Copy(n.peers.Controls, s.Controls())
 }
 
+// Serve implements call.Server. The node that a caller sent a key to records
+// what its owner answered without a send.
+func (s *shards) Serve(ctx context.Context, r call.Request) (*call.Answer, error) {
+	answer, err := s.Controller.Serve(ctx, r)
+	if r.Keyed() && r.Epoch == 0 {
+		s.keyed(r, answer, err)
+	}
+	return answer, err
+}
+
 // start names this process; its incarnation is known only once it listens.
 func (s *shards) start(self member.Ref) { s.keeper.Self = shardRef(self) }
 
