Probe loads within the measuring budget; lend retries only from the ledger

Cause: no node asked for loads, budgets of settings and configuration were not in force, and a server that copied Retry-Allowance to many calls multiplied it. Ruled out: probing over new links, whose handshake costs kilobytes.

--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -92,9 +92,11 @@
 			WithRemedy("remove the loop between services")
 	}
 	out.Hop = int(hop)
-	allowance, err := number(header, call.HeaderAllowance, -1)
-	out.Allowance = int(min(allowance, 16))
-	return err
+	if out.Parent == "" {
+		// A server that knows nothing of parents passes its request's ID on.
+		out.Parent = out.ID
+	}
+	return nil
 }
 
 func number(header http.Header, name string, missing int64) (int64, error) {
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -24,13 +24,21 @@
 	nodes   []*Node
 	servers []*server.Server
 	client  http.Client
+	// change alters a node after it was assembled and before it runs.
+	change func(n *Node)
 }
 
 func startCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	return startChanged(t, size, func(*Node) {})
+}
+
+// startChanged starts a cluster whose nodes are changed before they run.
+func startChanged(t *testing.T, size int, change func(n *Node)) *cluster {
 	t.Helper()
 	authority, err := node.NewAuthority("test", time.Hour)
 	assert.NilError(t, err)
-	c := &cluster{}
+	c := &cluster{change: change}
 	assert.NilError(t, c.store.Start("127.0.0.1:0"))
 	t.Cleanup(func() { _ = c.store.Stop(context.Background()) })
 	for i := range size {
@@ -62,7 +70,10 @@
 		Credentials: credentials, Notice: 50 * time.Millisecond,
 		Log: &log.Logger{Handler: discard.Default},
 	}}
-	assert.NilError(t, n.Start())
+	n.Options = n.withDefaults()
+	assert.NilError(t, n.assemble())
+	c.change(n)
+	assert.NilError(t, n.run())
 	t.Cleanup(n.Kill)
 	return n
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"time"
 
@@ -61,19 +60,18 @@
 }
 
 // allowance returns the retries that the request may use, and how to return
-// what is left: to the local server's request that made this call, to the
-// caller that sent it along, or to the budget of first calls.
+// what is left: to the local server's request that made this call, or to the
+// budget of first calls.
 func (e *entry) allowance(r call.Request, now time.Time) (a retry.Allowance, giveBack func(retry.Allowance)) {
-	if r.Parent != "" {
+	if r.Hop > 0 {
+		// The caller is a backend server. It may copy its headers to many calls,
+		// so only what its node still holds for it can be lent.
 		a, ok := e.ledger.Borrow(r.Parent)
-		if ok {
-			a.Deadline = r.Deadline
-			return a, func(left retry.Allowance) { e.ledger.Return(r.Parent, left) }
+		a.Deadline, a.Hop = r.Deadline, uint8(r.Hop)
+		if !ok {
+			return a, func(retry.Allowance) {}
 		}
-	}
-	if r.Allowance >= 0 {
-		a := retry.Allowance{Retries: uint8(min(r.Allowance, math.MaxUint8)), Hop: uint8(r.Hop), Deadline: r.Deadline}
-		return a, func(retry.Allowance) {}
+		return a, func(left retry.Allowance) { e.ledger.Return(r.Parent, left) }
 	}
 	return e.retries.Grant(r.Deadline, now), e.retries.Put
 }
@@ -111,10 +109,7 @@
 		e.ended(a.step, outcome, err, took)
 		return nil, err
 	}
-	e.routes.Observe(r.Service, a.choice.ID, routing.Load{
-		InFlight: answer.Load.InFlight, Queued: answer.Load.Queued, Slots: answer.Load.Slots,
-		Latency: answer.Load.Latency, Refusing: answer.Load.Draining,
-	}, time.Now())
+	e.routes.Observe(r.Service, a.choice.ID, routingLoad(answer.Load, 0), time.Now())
 	e.hedger.Observe(r.Class, took, time.Now())
 	outcome := routing.Answered
 	if answer.Status >= http.StatusInternalServerError {
--- a/internal/daemon/from_settings.go
+++ b/internal/daemon/from_settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/internal/settings"
+	"github.com/vanillasail/vanillasail/pkg/budget"
 )
 
 // FromSettings turns checked settings into the options of a node.
@@ -18,6 +19,8 @@
 		Advertise: s.Listen.Advertise, Seeds: s.Seeds, Credentials: credentials,
 		Secret: s.Secret, Table: s.Store.Table, Object: s.Store.Object,
 		StoreTimeout: time.Duration(s.Store.Timeout), First: s.Node.First,
-		MaxBody: int(s.Body), Notice: time.Duration(s.Notice), Log: logger,
+		ServerBudget: &budget.Rate{Messages: s.Budget.Server.Messages, Bytes: int64(s.Budget.Server.Bytes)},
+		LinkBudget:   &budget.Rate{Messages: s.Budget.Link.Messages, Bytes: int64(s.Budget.Link.Bytes)},
+		MaxBody:      int(s.Body), Notice: time.Duration(s.Notice), Log: logger,
 	}
 }
--- a/internal/daemon/local_server.go
+++ b/internal/daemon/local_server.go
@@ -29,8 +29,8 @@
 	// last is the zero value until the first announcement.
 	last announcement
 	at   time.Time
-	// since is when the server became ready, for slow start.
-	since time.Time
+	// known is set by the first announcement and stays set.
+	known bool
 	// drained is set while the configuration drains the server.
 	drained bool
 }
@@ -42,16 +42,15 @@
 	l.drained = current.Document.Services[l.last.Service].Servers[node].Drained
 }
 
-// update takes an announcement and reports whether anything changed.
-func (l *localServer) update(a announcement, now time.Time) bool {
+// update takes an announcement. It reports whether anything changed, and
+// whether another process than before is announced, which starts cold.
+func (l *localServer) update(a announcement, now time.Time) (changed, cold bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed := l.last != a
-	if a.Addr != l.last.Addr {
-		l.since = now
-	}
-	l.last, l.at = a, now
-	return changed
+	changed = l.last != a
+	cold = l.known && l.last.Addr != a.Addr
+	l.last, l.at, l.known = a, now, true
+	return changed, cold
 }
 
 // expire forgets a server that has stopped announcing itself.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -30,6 +30,7 @@
 	members   membership
 	config    configuration
 	shards    shards
+	measuring measuring
 	peers     node.Transport
 	callers   caller.Server
 	announce  http1.Server
@@ -46,6 +47,10 @@
 	if err := n.assemble(); err != nil {
 		return err
 	}
+	return n.run()
+}
+
+func (n *Node) run() error {
 	if err := n.listen(); err != nil {
 		return err
 	}
@@ -81,6 +86,7 @@
 	n.far.crash.controls(n.peers.Controls)
 	n.config.controls(n.peers.Controls)
 	n.shards.assemble(n)
+	n.measuring.assemble(n)
 	n.observed.assemble(n)
 	n.callers.Calls, n.callers.Rules, n.callers.MaxBody = n, &n.config, n.MaxBody
 	n.announce.Handler = n.handleAnnounce
@@ -134,7 +140,7 @@
 	for {
 		select {
 		case now := <-tick.C:
-			n.tick(now)
+			n.tick(ctx, now)
 		case <-ctx.Done():
 			return
 		}
@@ -142,7 +148,7 @@
 }
 
 // tick runs every system once.
-func (n *Node) tick(now time.Time) {
+func (n *Node) tick(ctx context.Context, now time.Time) {
 	n.limits.Tick(now)
 	n.callers.Tick()
 	n.peers.Tick(now)
@@ -153,6 +159,7 @@
 	n.members.announce(now, n.local.get(), n.far.stopping.Load())
 	n.members.tick(now)
 	n.shards.tick(now)
+	n.measuring.tick(ctx, now, n.config.Current())
 	n.far.crash.table.Tick(now)
 	n.routes.Tick(now)
 	n.observed.history.Tick(now, uint64(n.config.Version()))
@@ -192,7 +199,11 @@
 		return http1.Text(http.StatusBadRequest, `send {"service":"...","addr":"IP:port","slots":1 or more,"state":"ready" or "draining"}`)
 	}
 	now := time.Now()
-	if n.local.update(a, now) {
+	changed, cold := n.local.update(a, now)
+	if cold {
+		n.gate.queue.Cold(now)
+	}
+	if changed {
 		n.Log.WithField("node", n.ID).WithField("service", a.Service).WithField("server", a.Addr).
 			WithField("slots", a.Slots).WithField("state", a.State).Info("backend server announced")
 	}
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -8,6 +8,7 @@
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/internal/store"
 	"github.com/vanillasail/vanillasail/internal/table"
+	"github.com/vanillasail/vanillasail/pkg/budget"
 )
 
 // Options are the settings of one node.
@@ -35,6 +36,9 @@
 	Seeds []string
 	// Credentials are never nil.
 	Credentials *node.Credentials
+	// ServerBudget and LinkBudget limit measuring until a configuration names
+	// budgets; nil means the defaults of package budget.
+	ServerBudget, LinkBudget *budget.Rate
 	// MaxBody bounds a request body in bytes; zero means 8 MB.
 	MaxBody int
 	// Notice is how long a stopping node goes on accepting requests.
@@ -61,6 +65,12 @@
 }
 
 func (o Options) withDefaults() Options {
+	if o.ServerBudget == nil {
+		o.ServerBudget = &budget.DefaultServer
+	}
+	if o.LinkBudget == nil {
+		o.LinkBudget = &budget.DefaultLink
+	}
 	if o.MaxBody == 0 {
 		o.MaxBody = defaultMaxBody
 	}
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -191,6 +191,19 @@
 	return links
 }
 
+// Connected reports whether there is an open link to the peer.
+func (t *Transport) Connected(peer Peer) bool {
+	t.mu.Lock()
+	l := t.links[peer.ID]
+	usable := l != nil && !peer.replaces(l.peer)
+	t.mu.Unlock()
+	if !usable {
+		return false
+	}
+	conn := l.current()
+	return conn != nil && conn.Context().Err() == nil
+}
+
 // Links returns the number of open outgoing links.
 func (t *Transport) Links() int {
 	t.mu.Lock()
