--- a/pkg/once/keeper_test.go
+++ b/pkg/once/keeper_test.go
@@ -90,13 +90,17 @@
 		r, verdict := k.Begin(service, key, 1, now)
 		assert.Equal(t, verdict, VerdictNew)
 		assert.Assert(t, k.Acknowledge(r.Claim))
-		k.Settle(Settlement{Claim: r.Claim, Outcome: OutcomeFinished, Answer: []byte("1234")}, now)
+		for _, answer := range []string{"1234", "second"} {
+			k.Settle(Settlement{Claim: r.Claim, Outcome: OutcomeFinished, Answer: []byte(answer)}, now)
+		}
 	}
 	_, verdict := k.Begin(service, keys[3], 1, now)
 	assert.Equal(t, verdict, VerdictFull)
 	r, verdict := k.Begin(service, keys[0], 1, now)
 	assert.Equal(t, verdict, VerdictFinished)
 	assert.Assert(t, r.Answer == nil, "the oldest answer is dropped first")
+	r, _ = k.Begin(service, keys[2], 1, now)
+	assert.Equal(t, string(r.Answer), "1234", "the first answer stays")
 	_, answers := k.Size()
 	assert.Equal(t, answers, 8)
 	now = now.Add(time.Hour) // a pause does not age the records
