Refuse the reset of a shard that does not exist or cannot be owned

Cause: an operator's reset of shard 32 would panic, and a reset without a member outside the old pair reported success. Conclusion: a reset that returns nil has been written to the table.

--- a/internal/owner/repair.go
+++ b/internal/owner/repair.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/once"
 )
 
@@ -135,14 +136,23 @@
 // Reset gives a shard a new pair without records on an operator's word that no
 // process of the old pair is left. All its keys are unknown for one window.
 func (c *Controller) Reset(ctx context.Context, service string, index int) error {
+	if index < 0 || index >= once.Shards {
+		return fault.New(fault.KindBadRequest, "shard %d does not exist; shards are 0 to %d", index, once.Shards-1)
+	}
 	old, changed, err := c.write(ctx, service, func(m once.Map) []once.Shard {
 		if next, ok := m.Reset(index, c.Members); ok {
 			return []once.Shard{next}
 		}
 		return nil
 	})
+	if err != nil {
+		return err
+	}
+	if len(changed) == 0 {
+		return fault.New(fault.KindNoServer, "no member outside the old pair can own shard %d of %s", index, service)
+	}
 	for _, s := range changed {
 		c.announce(old.Shards[s.Index], s)
 	}
-	return err
+	return nil
 }
