--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -67,8 +67,8 @@
 }
 
 // check refuses a quarantined request before it waits for a slot.
-func (c *crashWatch) check(r call.Request, print quarantine.Fingerprint) error {
-	if c.table.Check(print, time.Now()) == quarantine.Refuse {
+func (c *crashWatch) check(r call.Request, mark quarantine.Fingerprint) error {
+	if c.table.Check(mark, time.Now()) == quarantine.Refuse {
 		return c.refusal(r)
 	}
 	return nil
@@ -79,9 +79,9 @@
 }
 
 // begin starts the request. A suspect waits until no other suspect runs here.
-func (c *crashWatch) begin(ctx context.Context, r call.Request, print quarantine.Fingerprint) (quarantine.Start, error) {
+func (c *crashWatch) begin(ctx context.Context, r call.Request, mark quarantine.Fingerprint) (quarantine.Start, error) {
 	for {
-		start, ok := c.table.Begin(print, time.Now())
+		start, ok := c.table.Begin(mark, time.Now())
 		if ok {
 			return start, nil
 		}
--- a/internal/daemon/far.go
+++ b/internal/daemon/far.go
@@ -36,8 +36,8 @@
 	if _, err := f.ready(r); err != nil {
 		return nil, f.refused(r, f.load(), f.ID, err)
 	}
-	print := quarantine.Fingerprint(r.Fingerprint())
-	if err := f.crash.check(r, print); err != nil {
+	mark := quarantine.Fingerprint(r.Fingerprint())
+	if err := f.crash.check(r, mark); err != nil {
 		return nil, f.refused(r, f.load(), f.ID, err)
 	}
 	leave, err := f.gate.enter(ctx, r)
@@ -49,7 +49,7 @@
 		leave(false)
 		return nil, f.refused(r, f.load(), f.ID, err)
 	}
-	start, err := f.crash.begin(ctx, r, print)
+	start, err := f.crash.begin(ctx, r, mark)
 	if err != nil {
 		leave(false)
 		return nil, f.refused(r, f.load(), f.ID, err)
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -17,8 +17,9 @@
 	handOverGrace = 30 * time.Second
 	// maxLife bounds a keyed request without a deadline.
 	maxLife = 30 * time.Second
-	// syncWait bounds how long a new key waits for the copy to a new backup.
-	syncWait = 500 * time.Millisecond
+	// syncWait bounds how long a new key waits for the copy to a new backup. The
+	// copy takes milliseconds; at 500 ms keys were refused on a busy machine.
+	syncWait = 3 * time.Second
 )
 
 // Controller runs keyed requests at most once and passes all others on. Set
--- a/internal/table/client_test.go
+++ b/internal/table/client_test.go
@@ -60,7 +60,7 @@
 	}{
 		"down":       {store.Fault{Down: true}, "down", fault.KindStoreDown, fault.KindStoreDown, false},
 		"silent":     {store.Fault{Silent: true}, "silent", fault.KindWriteUnknown, fault.KindStoreDown, false},
-		"slow":       {store.Fault{Slow: 400 * time.Millisecond}, "late", fault.KindWriteUnknown, fault.KindStoreDown, true},
+		"slow":       {store.Fault{Slow: 3 * time.Second}, "late", fault.KindWriteUnknown, fault.KindStoreDown, true},
 		"lost reply": {store.Fault{Lose: 1}, "lost", fault.KindWriteUnknown, "", true},
 	}
 	for name, tc := range cases {
