Measure how memory and processor time of a node grow

Cause: docs/design.md gives memory figures (69 KB an end of a link, 150 bytes a record) that no command in the repository reproduces, and nothing says what a node costs at the target size.

--- /dev/null
+++ b/internal/capacity/table_test.go
@@ -0,0 +1,143 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/evidence"
+	"github.com/vanillasail/vanillasail/internal/metrics"
+	"github.com/vanillasail/vanillasail/pkg/member"
+	"github.com/vanillasail/vanillasail/pkg/once"
+	"github.com/vanillasail/vanillasail/pkg/routing"
+)
+
+// Sizes of the target in section 1.5 of docs/design.md.
+const (
+	targetServices = 23
+	targetServers  = 31
+)
+
+// answerBytes times the bound of records stays within the bound of answers.
+const answerBytes = 200
+
+// BenchmarkOnceRecords measures the memory of finished at-most-once records.
+func BenchmarkOnceRecords(b *testing.B) {
+	for name, answer := range map[string]int{"without answer": 0, "with answer": answerBytes} {
+		b.Run(name, func(b *testing.B) {
+			report(b, "B/record", []int{1000, 5000, 10000, 20000}, func(b *testing.B, n int) float64 {
+				return growth(func() any { return finishedRecords(b, n, answer) })
+			})
+		})
+	}
+}
+
+func finishedRecords(b *testing.B, n, answer int) *once.Keeper {
+	self := once.Ref{ID: "n0", Incarnation: 1}
+	k, now := &once.Keeper{Self: self}, time.Now()
+	for i := range once.Shards {
+		k.Adopt(once.Shard{Service: "stock", Index: i, Epoch: 1, Owner: self}, 0, now)
+	}
+	for i := range n {
+		key := fmt.Sprintf("order-%030d", i)
+		record, verdict := k.Begin("stock", key, uint64(i), now)
+		assert.Equal(b, verdict, once.VerdictNew)
+		settled := once.Settlement{Claim: record.Claim, Outcome: once.OutcomeFinished}
+		if answer > 0 {
+			settled.Answer = make([]byte, answer)
+		}
+		k.Settle(settled, now)
+	}
+	records, answers := k.Size()
+	assert.Equal(b, records, n)
+	assert.Equal(b, answers, n*answer)
+	return k
+}
+
+// BenchmarkMembers measures the memory of records in the membership table.
+func BenchmarkMembers(b *testing.B) {
+	report(b, "B/member", []int{10, 100, 300, 710}, func(_ *testing.B, n int) float64 {
+		return growth(func() any {
+			var t member.Table
+			for i := range n {
+				t.Merge(member.Member{
+					Ref: member.Ref{ID: fmt.Sprintf("node-%04d", i), Incarnation: uint64(i + 1)}, Addr: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+					Service: fmt.Sprintf("service-%02d", i%targetServices), Region: fmt.Sprintf("r%d", i%2), Domain: fmt.Sprintf("d%d", i%4), Slots: 12, Seq: 1,
+				})
+			}
+			return &t
+		})
+	})
+}
+
+// BenchmarkRouting measures the memory of services with 31 servers each, and of
+// the servers of 23 services. Every server has had an answer and a load report.
+func BenchmarkRouting(b *testing.B) {
+	b.Run("services", func(b *testing.B) {
+		report(b, "B/service", []int{1, 6, 12, targetServices}, func(b *testing.B, n int) float64 {
+			return growth(func() any { return routes(b, n, targetServers) })
+		})
+	})
+	b.Run("servers", func(b *testing.B) {
+		report(b, "B/server", []int{4 * targetServices, 8 * targetServices, 16 * targetServices, targetServers * targetServices}, func(b *testing.B, n int) float64 {
+			return growth(func() any { return routes(b, targetServices, n/targetServices) })
+		})
+	})
+}
+
+func routes(b *testing.B, services, servers int) *routing.Table {
+	t := &routing.Table{Config: routing.Config{Node: "node-00-00", Region: "r0", Domain: "d0"}}
+	now := time.Now()
+	for i := range services {
+		service := fmt.Sprintf("service-%02d", i)
+		for j := range servers {
+			t.Upsert(routing.Server{
+				ID: fmt.Sprintf("node-%02d-%02d", i, j), Service: service,
+				Region: fmt.Sprintf("r%d", j%2), Domain: fmt.Sprintf("d%d", j%4), Slots: 12,
+			}, now)
+		}
+		for range 4 * servers {
+			now = now.Add(time.Millisecond)
+			choice, ok := t.Pick(routing.Request{Service: service}, now)
+			assert.Assert(b, ok)
+			t.Observe(service, choice.ID, routing.Load{InFlight: 3, Slots: 12, Latency: 10 * time.Millisecond}, now)
+			t.Done(service, choice.ID, routing.Answered, 10*time.Millisecond, now)
+		}
+	}
+	t.Tick(now)
+	return t
+}
+
+// BenchmarkMetricsLabels measures the memory of histograms and counters by label.
+func BenchmarkMetricsLabels(b *testing.B) {
+	report(b, "B/label", []int{10, 50, 100, 250}, func(_ *testing.B, n int) float64 {
+		return growth(func() any {
+			var r metrics.Registry
+			for i := range n {
+				q := call.Request{Service: fmt.Sprintf("service-%d", i/50), Class: fmt.Sprintf("c%d", i%5), Tenant: fmt.Sprintf("t%d", i%50/5)}
+				for k := range 100 {
+					r.Answered(q, 200, nil, time.Duration(1+k*k)*time.Millisecond/10)
+				}
+			}
+			return &r
+		})
+	})
+}
+
+// BenchmarkEvidenceRing measures the memory of kept decisions. The ring takes
+// its entries with the first decision; the slope is that of request IDs.
+func BenchmarkEvidenceRing(b *testing.B) {
+	report(b, "B/decision", []int{1, 1024, 2048, evidence.Kept}, func(_ *testing.B, n int) float64 {
+		return growth(func() any {
+			var r evidence.Ring
+			for i := range n {
+				step := r.Begin(evidence.Decision{Request: fmt.Sprintf("%032x", i), Service: "stock", Class: "dispatch", Tenant: "geada", At: time.Now()})
+				r.End(step, evidence.Answered, "", time.Millisecond)
+			}
+			return &r
+		})
+	})
+}
