Eject at most a fifth of the servers

Cause: with a cap of 0.34, an overload of all servers ejected some as slow that were needed, which made the overload worse.

--- a/pkg/outlier/config.go
+++ b/pkg/outlier/config.go
@@ -10,8 +10,8 @@
 // Config holds the limits of ejection. A zero field means its default.
 type Config struct {
 	// MaxShare is the largest share of a group that may be out, in (0, 1].
-	// One server of a group of two or more may always be out. The default of
-	// 0.34 covers a whole failure domain of the largest region.
+	// One server of a group of two or more may always be out. The default is
+	// 0.2: with more, an overload of all servers ejects those that are needed.
 	MaxShare float64
 	// Failures in a row eject a server; the default is 3.
 	Failures int
@@ -32,7 +32,7 @@
 }
 
 func (c Config) withDefaults() Config {
-	setFloat(&c.MaxShare, 0.34)
+	setFloat(&c.MaxShare, 0.2)
 	setFloat(&c.FailureShare, 0.5)
 	setFloat(&c.Slow, 3)
 	setInt(&c.Failures, 3)
