--- a/internal/experiment/goal_test.go
+++ b/internal/experiment/goal_test.go
@@ -23,7 +23,7 @@
 )
 
 var (
-	missedOracle = names("geada/domain-lost/0.85",
+	missedOracle = names("geada/domain-lost/0.85", "geada/slow-2s/0.85",
 		"union/slow-250ms/0.5", "union/slow-250ms/0.7", "union/slow-250ms/0.85", "union/slow-2s/0.85")
 	missedLeast = names("geada/burst/0.85", "geada/domain-lost/0.85", "union/burst/0.85", "union/domain-lost/0.85")
 	missedHedge = names("geada/burst/0.5", "geada/lying/0.5", "geada/slow-250ms/0.5", "geada/ten-times/0.5",
