Keep first answers apart from the answers on their way; settle in time

Cause: (1) the kept answer shared its header map with the answer that the caller's side changes. The race detector shows it, and under load a resend got an empty body in 7 of about 1,500 resends (a map of changed size decodes into the following fields), or the node died of the concurrent access. (2) A caller that knows the length of its answer could send the key again before the owner had read the end, and was told 'still-running'. Ruled out: eviction of kept answers and a wrong length; lengths and records were right. Conclusion: resends get the first answer.

--- a/internal/load/ledger.go
+++ b/internal/load/ledger.go
@@ -86,7 +86,7 @@
 		if response.StatusCode == http.StatusOK && !r.own(text, replayed) {
 			l.wrongCount++
 			if len(l.wrong) < maxExamples {
-				l.wrong = append(l.wrong, fmt.Sprintf("%s got %.60q", r.id, text))
+				l.wrong = append(l.wrong, fmt.Sprintf("%s got %.60q with %v", r.id, text, response.Header))
 			}
 		}
 	default:
--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -90,6 +90,8 @@
 	defer context.AfterFunc(ctx, func() { _ = writer.CloseWithError(context.DeadlineExceeded) })()
 	shown := *answer
 	shown.Body = reader
+	// The caller's side changes the header while this side keeps it.
+	shown.Header = answer.Header.Clone()
 	a.answer = &shown
 	close(a.ready)
 	_ = writer.CloseWithError(a.copy(writer, answer))
@@ -132,12 +134,18 @@
 		settle(once.OutcomeReleased, nil)
 	}
 	buf := make([]byte, copySize)
-	for {
+	for total := int64(0); ; {
 		n, err := answer.Body.Read(buf)
+		total += int64(n)
 		if !settled && !kept.add(buf[:n]) {
 			// The server has answered; the answer is too large to keep.
 			settle(once.OutcomeFinished, nil)
 		}
+		if total == answer.Length {
+			// A caller that knows the length may send the key again before the
+			// end of the body is read here.
+			settle(once.OutcomeFinished, kept.encode())
+		}
 		if n > 0 && !gone {
 			_, werr := w.Write(buf[:n])
 			gone = werr != nil
