--- a/pkg/member/protocol_test.go
+++ b/pkg/member/protocol_test.go
@@ -66,6 +66,22 @@
 	t.Logf("complete after %v", took)
 }
 
+// Guards against buckets with more records than one answer carries, whose end
+// was never sent: 710 nodes then stopped at 205 members after a join by seed.
+func TestSeedTeachesLargeBuckets(t *testing.T) {
+	n := newNetwork(seed(t))
+	known := n.start(n.record(0, 1))
+	var many []member.Member
+	for i := range 1500 {
+		many = append(many, n.record(10+i, 1).WithRegion("elsewhere").WithSeq(1))
+	}
+	known.Learn(n.now, many)
+	late := n.start(n.record(1, 1), known.addr)
+	took, ok := n.until(2*time.Minute, func() bool { return late.Table().Len() == 1502 })
+	assert.Assert(t, ok, "%d members after %v", late.Table().Len(), took)
+	t.Logf("complete after %v", took)
+}
+
 // Guards against counting a pause of the process, or a jump of its clock, as
 // silence of the others, and against a verdict that outlives the pause.
 func TestFrozenProcessReturns(t *testing.T) {
@@ -148,6 +164,16 @@
 	assert.Assert(t, ok, "the old member is still known after %v", took)
 }
 
+// Guards against members behind a row of dead ones on the ring, and against
+// news that stays in its region, when a quarter of all nodes stops at once.
+func TestLostDomainIsKnownSoon(t *testing.T) {
+	for extra := range uint64(4) {
+		n := cluster(seed(t)+extra, 100, 2)
+		took := n.loseDomain()
+		assert.Assert(t, took <= 3.3, "known everywhere after %v s, seed %d more", took, extra)
+	}
+}
+
 // Guards against members that are forgotten or declared dead because a link is
 // cut, and against a burst of traffic when it comes back.
 func TestCutRegionGoesOnAndRejoins(t *testing.T) {
