Bound a killer request at two servers between processes; outcomes over attempts

(1) Incidents to the other region were denied when gossip and probes had spent the link's measuring budget. (2) The second request to fail made an empty incident, and its caller was told before the first one had spread. (3) The kernel closes a dying process's connections before its listener, so the crash was taken for one closed connection. (4) A hedge could start a second copy of a request that had just crashed a server. (5) The refusal of a retry was passed on although the first attempt had run. Ruled out: the conviction rule of pkg/quarantine; its model holds. Change: incidents do not ask the measuring budget, wait for the report under way, go to the nodes whose requests were in flight too, stop hedges; Refuses looks whether a connection stays open; an error's outcome holds for all attempts.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -157,17 +158,36 @@
 }
 
 // Refuses reports whether the server's address refuses new connections, which
-// tells a crashed server from a closed connection.
+// tells a crashed server from a closed connection. The kernel closes the
+// listener of a process that ends a little after its connections, so a
+// connection has to stay open for a moment to count.
 func Refuses(ctx context.Context, addr string) bool {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	for range refuseTries {
+		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		open := staysOpen(conn)
+		_ = conn.Close()
+		if open {
+			return false
+		}
 	}
-	_ = conn.Close()
 	return false
 }
 
+const (
+	refuseTries = 5
+	openTime    = 20 * time.Millisecond
+)
+
+func staysOpen(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(openTime))
+	_, err := conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // wholeBody types the error of a body that was cut short.
 type wholeBody struct{ io.ReadCloser }
 
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -46,6 +46,8 @@
 	// Idempotent is decided once, by the first node, from method and rules.
 	Idempotent bool `msgpack:"d"`
 	Hop        int  `msgpack:"p"`
+	// From is the ID of the node that sent the request, or empty for a caller.
+	From string `msgpack:"-"`
 	// Parent is the ID of the request for which the local backend server made
 	// this call, or empty. It does not travel between nodes.
 	Parent string `msgpack:"-"`
--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -9,7 +10,6 @@
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/node"
-	"github.com/vanillasail/vanillasail/pkg/budget"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
@@ -37,9 +37,10 @@
 	table   quarantine.Table
 	members *membership
 	node    *node.Transport
-	limits  *budget.Limiter
 
 	mu sync.Mutex
+	// entries counts the requests in flight here by the node that sent them.
+	entries map[string]int
 	// reporting is closed when the newest report has ended; nil before the first.
 	reporting chan struct{}
 }
@@ -78,11 +79,33 @@
 	return fault.New(fault.KindQuarantined, "requests with the content of %s crashed two backend servers", r.ID)
 }
 
+// suspect reports whether the request was in flight at a crash. A second copy
+// of it beside the first could crash a second server before either is known.
+func (c *crashWatch) suspect(r call.Request) bool {
+	return c.table.Check(quarantine.Fingerprint(r.Fingerprint()), time.Now()) != quarantine.Run
+}
+
+// count follows the requests in flight of another node.
+func (c *crashWatch) count(from string, change int) {
+	if from == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.entries == nil {
+		c.entries = make(map[string]int)
+	}
+	if c.entries[from] += change; c.entries[from] == 0 {
+		delete(c.entries, from)
+	}
+}
+
 // begin starts the request. A suspect waits until no other suspect runs here.
 func (c *crashWatch) begin(ctx context.Context, r call.Request, mark quarantine.Fingerprint) (quarantine.Start, error) {
 	for {
 		start, ok := c.table.Begin(mark, time.Now())
 		if ok {
+			c.count(r.From, 1)
 			return start, nil
 		}
 		if start.Verdict == quarantine.Refuse {
@@ -96,14 +119,15 @@
 }
 
 // end ends a request; one that was answered is no suspect any more.
-func (c *crashWatch) end(start quarantine.Start, answered bool) {
+func (c *crashWatch) end(r call.Request, start quarantine.Start, answered bool) {
+	c.count(r.From, -1)
 	release, released := c.table.End(start, answered, time.Now())
 	if !released {
 		return
 	}
 	body, err := msgpack.Marshal(release)
 	if err == nil {
-		go c.spread(context.Background(), kindRelease, body, c.members.protocol.Own().Service)
+		go c.spread(context.Background(), kindRelease, body, c.audience(c.members.protocol.Own().Service))
 	}
 }
 
@@ -112,7 +136,8 @@
 func (c *crashWatch) report(ctx context.Context, service string) {
 	c.mu.Lock()
 	incident := c.table.Crash(c.ID, time.Now())
-	if !incident.Valid() {
+	if len(incident.Prints) == 0 {
+		// Another request that was in flight has reported the crash already.
 		wait := c.reporting
 		c.mu.Unlock()
 		if wait != nil {
@@ -124,24 +149,40 @@
 	c.reporting = done
 	c.mu.Unlock()
 	defer close(done)
+	audience := c.audience(service)
 	c.Log.WithField("node", c.ID).WithField("service", service).WithField("requests", len(incident.Prints)).
 		Error("backend server crashed")
 	body, err := msgpack.Marshal(incident)
 	if err == nil {
-		c.spread(ctx, kindIncident, body, service)
+		c.spread(ctx, kindIncident, body, audience)
 	}
 }
 
-// spread sends a message to the nodes of a service and waits for their replies.
-func (c *crashWatch) spread(ctx context.Context, kind string, body []byte, service string) {
+// audience returns the nodes that must know of a crash: those that may run the
+// request next, and those that sent the requests in flight and may send them
+// again.
+func (c *crashWatch) audience(service string) []member.Member {
+	c.mu.Lock()
+	entries := maps.Clone(c.entries)
+	c.mu.Unlock()
+	var found []member.Member
+	for _, m := range c.members.protocol.Table().Members() {
+		if m.ID != c.ID && (m.Service == service || entries[m.ID] > 0) {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// spread sends a message to nodes and waits for their replies. It does not ask
+// the measuring budget: a crash measures nothing, and when the budget of a link
+// was spent the other region lost a third server.
+func (c *crashWatch) spread(ctx context.Context, kind string, body []byte, audience []member.Member) {
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, maxSpread)
-	for _, m := range c.members.protocol.Table().Members() {
-		if m.ID == c.ID || m.Service != service || !c.allowed(m, len(body)) {
-			continue
-		}
+	for _, m := range audience {
 		wg.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
@@ -151,10 +192,6 @@
 	wg.Wait()
 }
 
-func (c *crashWatch) allowed(m member.Member, size int) bool {
-	return c.limits.Allow(budget.Control, size, time.Now(), budget.Link(c.Region, m.Region))
-}
-
 // join learns the incidents that a few other nodes know.
 func (c *crashWatch) join(ctx context.Context) {
 	asked := 0
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/call"
@@ -18,6 +19,9 @@
 	attempts retry.Attempts
 	// last is the error of the newest attempt that failed.
 	last error
+	// ran is set when an attempt may have run, so that the request as a whole
+	// cannot be refused any more.
+	ran atomic.Bool
 }
 
 // result is the end of one attempt.
@@ -26,11 +30,22 @@
 	err    error
 	// server is empty when no server was left to try.
 	server string
-	// cancel ends the attempt; it is called after the answer was read.
-	cancel context.CancelFunc
 }
 
+// run returns the answer, or an error whose outcome holds for all attempts.
 func (d *dispatch) run(ctx context.Context) (*call.Answer, error) {
+	answer, err := d.try(ctx)
+	if err == nil {
+		return answer, nil
+	}
+	f := fault.As(err)
+	if f.Outcome == fault.Refused && d.ran.Load() {
+		return nil, f.WithOutcome(fault.Unknown)
+	}
+	return nil, f
+}
+
+func (d *dispatch) try(ctx context.Context) (*call.Answer, error) {
 	action := evidence.Place
 	for {
 		res := d.attempt(ctx, action)
@@ -74,7 +89,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	answer, err := d.entry.send(ctx, a, d.request.WithAllowance(int(allowance.Retries)))
-	res := result{answer: answer, err: err, server: a.choice.ID, cancel: cancel}
+	res := result{answer: answer, err: err, server: a.choice.ID}
+	if err == nil || fault.As(err).Outcome != fault.Refused {
+		d.ran.Store(true)
+	}
 	if err != nil {
 		cancel()
 		return res
@@ -97,7 +115,7 @@
 		return res.ending(cancelFirst)
 	case <-timer.C:
 	}
-	if !d.attempts.Hedge(&d.hedger, d.request.Idempotent, time.Now()) {
+	if d.crash.suspect(d.request) || !d.attempts.Hedge(&d.hedger, d.request.Idempotent, time.Now()) {
 		return (<-results).ending(cancelFirst)
 	}
 	second, cancelSecond := context.WithCancel(ctx)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -23,6 +23,11 @@
 	Call(ctx context.Context, peer node.Peer, r call.Request) (*call.Answer, error)
 }
 
+// suspects tells which requests may have crashed a backend server.
+type suspects interface {
+	suspect(r call.Request) bool
+}
+
 // entry places requests on backend servers and retries them where that is
 // safe and within the allowance.
 type entry struct {
@@ -32,6 +37,7 @@
 	peers   directory
 	forward forwarder
 	local   call.Server
+	crash   suspects
 	// retries, ledger and hedger bound what this node adds to the load.
 	retries retry.Budget
 	ledger  retry.Ledger
--- a/internal/daemon/far.go
+++ b/internal/daemon/far.go
@@ -57,7 +57,7 @@
 	answer, err := f.sendWithAllowance(ctx, server.Addr, r)
 	if err != nil {
 		err = f.failed(ctx, server, r, err)
-		f.crash.end(start, false)
+		f.crash.end(r, start, false)
 		leave(false)
 		return nil, err
 	}
@@ -69,7 +69,7 @@
 		if err != nil {
 			_ = f.failed(ctx, server, r, err)
 		}
-		f.crash.end(start, whole)
+		f.crash.end(r, start, whole)
 		leave(whole)
 	}}
 	return answer, nil
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -77,12 +77,12 @@
 	n.members.common, n.members.routes = shared, &n.routes
 	n.config.common, n.config.members, n.config.node = shared, &n.members, &n.peers
 	n.config.start()
-	n.entry = entry{common: shared, journal: journal{&n.observed}, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far}
+	n.entry = entry{common: shared, journal: journal{&n.observed}, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, crash: &n.far.crash}
 	n.far.ledger = &n.entry.ledger
 	n.peers.ID, n.peers.MaxBody, n.peers.Credentials = n.ID, n.MaxBody, n.Credentials
 	n.peers.Calls = peerCalls{shards: &n.shards, far: &n.far}
 	n.peers.Controls = make(map[string]node.ControlFunc)
-	n.far.crash.common, n.far.crash.members, n.far.crash.node, n.far.crash.limits = shared, &n.members, &n.peers, &n.limits
+	n.far.crash.common, n.far.crash.members, n.far.crash.node = shared, &n.members, &n.peers
 	n.far.crash.controls(n.peers.Controls)
 	n.config.controls(n.peers.Controls)
 	n.shards.assemble(n)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -87,7 +87,7 @@
 		return
 	}
 	r := *head.Call
-	r.Body = body
+	r.Body, r.From = body, head.From
 	t.serveCall(stream, r)
 }
 
--- a/internal/scenario/await_test.go
+++ b/internal/scenario/await_test.go
@@ -12,7 +12,8 @@
 	"github.com/vanillasail/vanillasail/internal/standin/server"
 )
 
-// await answer STATUS OUTCOME [TEXT] | servers nN COUNT | log NAME TEXT |
+// await answer STATUS OUTCOME [TEXT] | servers nN COUNT | version nN
+// VERSION | log NAME TEXT | text TEXT SEND-ARGUMENTS |
 // quiet sN waits until the condition holds. answer does not wait.
 func (w *world) await(args []string) error {
 	switch args[0] {
@@ -22,10 +23,14 @@
 		return awaitCondition(func() error { return w.serversAt(args[1], args[2]) })
 	case "log":
 		return awaitCondition(func() error { return w.logged(args[1], args[2]) })
+	case "version":
+		return awaitCondition(func() error { return w.versionAt(args[1], args[2]) })
+	case "text":
+		return awaitCondition(func() error { return w.sendFor(args[1], args[2:]) })
 	case "quiet":
 		return w.quiet(args[1])
 	default:
-		return fmt.Errorf("await answer|servers|log|quiet")
+		return fmt.Errorf("await answer|servers|version|log|text|quiet")
 	}
 }
 
@@ -49,6 +54,35 @@
 	return nil
 }
 
+// sendFor sends a request and checks that the answer holds the text.
+func (w *world) sendFor(text string, args []string) error {
+	if err := w.send(args); err != nil {
+		return err
+	}
+	if !strings.Contains(w.last.text, text) {
+		return fmt.Errorf("answer %d holds no %q: %.200s", w.last.status, text, w.last.text)
+	}
+	return nil
+}
+
+// versionAt checks that a ready node has the configuration version in force.
+func (w *world) versionAt(name, want string) error {
+	a, err := w.nodeOf(name)
+	if err != nil {
+		return err
+	}
+	var state struct {
+		Version uint64 `json:"version"`
+	}
+	if err := w.request(http.MethodGet, "http://"+a.operator+"/ready", "", &state); err != nil {
+		return err
+	}
+	if strconv.FormatUint(state.Version, 10) != want {
+		return fmt.Errorf("%s has version %d in force, want %s", name, state.Version, want)
+	}
+	return nil
+}
+
 // serversAt checks how many servers a node gives new work to.
 func (w *world) serversAt(name, want string) error {
 	a, err := w.nodeOf(name)
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -72,3 +73,28 @@
 	}
 	return all.String(), nil
 }
+
+// crashed MAX checks that at least one and at most MAX servers ended by a crash.
+func (w *world) crashed(args []string) error {
+	limit, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	ended := 0
+	for name, p := range w.processes {
+		select {
+		case <-p.done:
+			if strings.HasPrefix(name, "s") && p.cmd.ProcessState.ExitCode() == crashCode {
+				ended++
+			}
+		default:
+		}
+	}
+	if ended < 1 || ended > limit {
+		return fmt.Errorf("%d servers crashed, want 1 to %d", ended, limit)
+	}
+	return nil
+}
+
+// crashCode is the exit code of a stand-in that a request crashed.
+const crashCode = 3
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -29,6 +29,7 @@
 			"cluster": script((*world).cluster),
 			"signal":  script((*world).signal),
 			"ended":   script((*world).ended),
+			"crashed": script((*world).crashed),
 			"start":   script((*world).restart),
 			"fault":   script((*world).fault),
 			"counted": script((*world).counted),
