--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -88,6 +88,21 @@
 	return c.Current().Document.Services[service].Timeouts()
 }
 
+// Retries implements limits.
+func (c *configuration) Retries(service string) int {
+	limit, ratio := c.Current().Document.Services[service].RetryLimit()
+	if ratio == 0 {
+		return 0
+	}
+	return limit
+}
+
+// Hedged implements limits.
+func (c *configuration) Hedged(service string) bool {
+	ratio, _ := c.Current().Document.Services[service].HedgeLimit()
+	return ratio > 0
+}
+
 // configPeers reaches the configuration of other nodes.
 type configPeers struct{ *configuration }
 
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -68,7 +68,7 @@
 // attempt sends the request once; the first send of an idempotent request may
 // get a second one beside it.
 func (d *dispatch) attempt(ctx context.Context, action evidence.Action) result {
-	if action == evidence.Place && d.request.Idempotent {
+	if action == evidence.Place && d.request.Idempotent && d.limits.Hedged(d.request.Service) {
 		if delay, ok := d.hedger.Delay(d.request.Class, time.Now()); ok {
 			return d.hedged(ctx, delay)
 		}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -28,6 +28,14 @@
 	suspect(r call.Request) bool
 }
 
+// limits are what the configuration allows for a service.
+type limits interface {
+	// Retries bounds the retries of one request.
+	Retries(service string) int
+	// Hedged reports whether requests may have a second copy.
+	Hedged(service string) bool
+}
+
 // entry places requests on backend servers and retries them where that is
 // safe and within the allowance.
 type entry struct {
@@ -38,6 +46,7 @@
 	forward forwarder
 	local   call.Server
 	crash   suspects
+	limits  limits
 	// retries, ledger and hedger bound what this node adds to the load.
 	retries retry.Budget
 	ledger  retry.Ledger
@@ -79,7 +88,12 @@
 		}
 		return a, func(left retry.Allowance) { e.ledger.Return(r.Parent, left) }
 	}
-	return e.retries.Grant(r.Deadline, now), e.retries.Put
+	granted := e.retries.Grant(r.Deadline, now)
+	// What the service may not use goes back with the rest.
+	kept := uint8(max(0, int(granted.Retries)-e.limits.Retries(r.Service)))
+	return granted.WithRetries(granted.Retries - kept), func(left retry.Allowance) {
+		e.retries.Put(left.WithRetries(left.Retries + kept))
+	}
 }
 
 // choose picks a server that has had no attempt yet.
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/admission"
 	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/routing"
 )
 
 const (
@@ -22,6 +24,9 @@
 // gate admits requests to the backend server's slots and lets them wait.
 type gate struct {
 	queue admission.Queue
+	mu    sync.Mutex
+	// pace measures the server's run time for the load that answers carry.
+	pace routing.Pace
 	// rules is the configuration version whose rules are in force.
 	rules   config.Version
 	service string
@@ -41,15 +46,31 @@
 	if decision.Evicted.Valid() {
 		wake(decision.Evicted, fault.New(fault.KindOverloaded, "a request of higher priority took the place in the queue"))
 	}
-	leave = func(ran bool) { g.leave(entry, ran) }
 	switch decision.Verdict {
 	case admission.Run:
-		return leave, nil
 	case admission.Wait:
-		return leave, g.wait(ctx, entry, w)
+		if err := g.wait(ctx, entry, w); err != nil {
+			return nil, err
+		}
 	default:
 		return nil, decision.Err()
 	}
+	return g.started(entry), nil
+}
+
+// started counts a request that has its slot, and returns how to end it.
+func (g *gate) started(entry admission.Entry) (leave func(ran bool)) {
+	start := time.Now()
+	g.mu.Lock()
+	g.pace.Start(start)
+	g.mu.Unlock()
+	return func(ran bool) {
+		now := time.Now()
+		g.mu.Lock()
+		g.pace.End(now.Sub(start), ran, now)
+		g.mu.Unlock()
+		g.leave(entry, ran)
+	}
 }
 
 func (g *gate) wait(ctx context.Context, entry admission.Entry, w waiter) error {
@@ -146,6 +167,10 @@
 }
 
 func (g *gate) load() call.Load {
-	l := g.queue.Load(time.Now())
-	return call.Load{InFlight: l.InFlight, Queued: l.Queued, Slots: l.Slots, Latency: l.Latency, Draining: l.Refusing}
+	now := time.Now()
+	l := g.queue.Load(now)
+	g.mu.Lock()
+	latency := g.pace.Latency(now)
+	g.mu.Unlock()
+	return call.Load{InFlight: l.InFlight, Queued: l.Queued, Slots: l.Slots, Latency: latency, Draining: l.Refusing}
 }
--- a/internal/daemon/shards.go
+++ b/internal/daemon/shards.go
@@ -37,6 +37,7 @@
 	s.Network = &n.peers
 	s.Table = shardRows{n.tableClient()}
 	s.Next = &n.entry
+	s.Log = n.Log.WithField("node", n.ID)
 	maps.Copy(n.peers.Controls, s.Controls())
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -27,6 +27,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// Only requests count as use: control messages alone, such as probes, must
+	// not keep a link open.
+	l.used.Store(time.Now().UnixNano())
 	release := func() { l.inFlight.Add(-1) }
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(codeCanceled)
@@ -101,7 +104,6 @@
 		return nil, nil, err
 	}
 	l.inFlight.Add(1)
-	l.used.Store(time.Now().UnixNano())
 	conn, err := l.get(ctx, func(ctx context.Context, addr net.Addr) (*quic.Conn, error) {
 		return t.quic.Dial(ctx, addr, t.Credentials.tlsConfig(), quicConfig())
 	})
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -136,6 +136,7 @@
 			WithOutcome(fault.Refused)
 	}
 	l = &link{peer: peer}
+	l.used.Store(time.Now().UnixNano())
 	t.links[peer.ID] = l
 	return l, nil
 }
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/once"
@@ -34,6 +36,8 @@
 	Next call.Server
 	// Now replaces time.Now unless nil.
 	Now func() time.Time
+	// Log is nil for the default logger.
+	Log log.Interface
 
 	rows rows
 	// tasks counts attempts, settlements and repairs under way.
@@ -47,6 +51,13 @@
 	synced chan struct{}
 }
 
+func (c *Controller) log() log.Interface {
+	if c.Log != nil {
+		return c.Log
+	}
+	return log.Log
+}
+
 func (c *Controller) now() time.Time {
 	if c.Now != nil {
 		return c.Now()
--- a/internal/owner/repair.go
+++ b/internal/owner/repair.go
@@ -61,7 +61,7 @@
 func (c *Controller) copyRecords(ctx context.Context) {
 	for _, s := range c.Keeper.Unsynced() {
 		if err := c.transfer(ctx, s); err != nil {
-			logShard(s).WithError(err).Warn("records were not copied to the backup; new keys of the shard are refused")
+			c.logShard(s).WithError(err).Warn("records were not copied to the backup; new keys of the shard are refused")
 		}
 	}
 }
@@ -79,17 +79,17 @@
 func (c *Controller) commit(ctx context.Context, service string, decide change) {
 	old, changed, err := c.write(ctx, service, decide)
 	if err != nil {
-		log.WithField("service", service).WithError(err).Warn("shard map was not changed; the next round tries again")
+		c.log().WithField("service", service).WithError(err).Warn("shard map was not changed; the next round tries again")
 		return
 	}
 	for _, s := range changed {
 		c.announce(old.Shards[s.Index], s)
-		logShard(s).WithField("lost", s.Lost == s.Epoch).Info("shard has a new pair")
+		c.logShard(s).WithField("lost", s.Lost == s.Epoch).Info("shard has a new pair")
 	}
 }
 
-func logShard(s once.Shard) *log.Entry {
-	return log.WithFields(log.Fields{
+func (c *Controller) logShard(s once.Shard) *log.Entry {
+	return c.log().WithFields(log.Fields{
 		"service": s.Service, "shard": s.Index, "epoch": s.Epoch, "owner": s.Owner.ID, "backup": s.Backup.ID,
 	})
 }
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -25,8 +25,8 @@
 
 // Budgets that apply where a document is silent, for each node.
 var (
-	DefaultServerBudget = Budget{Messages: 20, Bytes: 2048}
-	DefaultLinkBudget   = Budget{Messages: 50, Bytes: 1024}
+	DefaultServerBudget = Budget{Messages: 20, Bytes: 4096}
+	DefaultLinkBudget   = Budget{Messages: 20, Bytes: 1024}
 )
 
 // Document is one configuration. It is immutable: nobody changes its maps after
