--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -16,7 +16,7 @@
 const (
 	kindConfigVersion = "config-version"
 	kindConfigFetch   = "config-fetch"
-	pollInterval      = 15 * time.Second
+	pollInterval      = 12 * time.Second
 	peerTimeout       = time.Second
 	// maxAsked bounds how many peers are asked at once for their version.
 	maxAsked = 16
