Send again on a fresh connection when an idle one to the server is silent

Cause: with little traffic a silent connection to the server was noticed only by the deadline, because the check asked whether the server answers others. Ruled out: a health request; a server that answers it may still be slow for this request, which tells nothing about the connection. Change: a connection that was idle for 500 ms counts as suspect too, and all idle connections are closed before the second send.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -80,6 +80,9 @@
 	}, nil
 }
 
+// CloseIdle closes the connections that no request uses.
+func (c *Client) CloseIdle() { c.roundTripper().CloseIdleConnections() }
+
 func newRequest(ctx context.Context, addr string, r call.Request) (*http.Request, error) {
 	target, err := url.ParseRequestURI(r.URI)
 	if err != nil {
--- a/internal/daemon/far.go
+++ b/internal/daemon/far.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -134,17 +135,21 @@
 	return answer, err
 }
 
-// send sends the request. An idempotent one that gets no answer while the
-// server answers others is sent once more on a fresh connection: the first
-// connection has gone silent, not the server.
+// send sends the request. An idempotent one that gets no answer, although the
+// server answers others or its connection was idle before, is sent once more on
+// a fresh connection: the first connection may have gone silent, not the server.
 func (f *far) send(ctx context.Context, addr string, r call.Request) (*call.Answer, error) {
 	if !r.Idempotent {
 		return f.client.Do(ctx, addr, r)
 	}
 	first, cancel := context.WithCancelCause(ctx)
 	before := f.completed.Load()
+	var idle atomic.Int64
+	first = httptrace.WithClientTrace(first, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { idle.Store(int64(info.IdleTime)) },
+	})
 	timer := time.AfterFunc(f.stallAfter(), func() {
-		if f.completed.Load() > before {
+		if f.completed.Load() > before || time.Duration(idle.Load()) >= suspectIdle {
 			cancel(errSilent)
 		}
 	})
@@ -160,10 +165,15 @@
 		return nil, err
 	}
 	f.Log.WithField("server", addr).WithField("id", r.ID).Warn("connection to backend server is silent; sending again on a new one")
+	// Connections that were idle as well may be silent too.
+	f.client.CloseIdle()
 	return f.client.Do(ctx, addr, r)
 }
 
 const (
+	// suspectIdle is how long a connection was unused when it may have been
+	// forgotten by something on the way.
+	suspectIdle = 500 * time.Millisecond
 	// minStall and stallFactor set how long an answer may take, in multiples of
 	// the usual latency, before its connection is suspected to be silent.
 	minStall    = time.Second
--- /dev/null
+++ b/internal/daemon/silent_test.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/vanillasail/vanillasail/internal/standin/relay"
+	"github.com/vanillasail/vanillasail/internal/standin/server"
+)
+
+// Guards against requests that wait for their deadline on connections to the
+// server that have gone silent for good while new ones work.
+func TestSilentConnectionToTheServer(t *testing.T) {
+	c := startCluster(t, 1)
+	addr := freeTCP(t)
+	path := &relay.Relay{Target: addr}
+	assert.NilError(t, path.StartTCP("127.0.0.1:0"))
+	t.Cleanup(path.Close)
+	c.servers[0].Kill()
+	s := &server.Server{Service: "stock", Slots: 12, Announce: c.nodes[0].AnnounceAddr(), Advertise: path.TCPAddr()}
+	assert.NilError(t, s.Start(addr))
+	t.Cleanup(s.Kill)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.nodes[0].local.get().Addr != path.TCPAddr() {
+			return poll.Continue("server not announced")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+
+	assert.Equal(t, c.get(t, 0, "before"), http.StatusOK)
+	idle := time.Now()
+	path.Set(relay.Silent)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if time.Since(idle) < suspectIdle {
+			return poll.Continue("the connection was not idle long enough")
+		}
+		return poll.Success()
+	}, poll.WithDelay(10*time.Millisecond))
+	response, _, err := c.call(context.Background(), 0, http.MethodGet, "/stock/item", http.Header{"Request-Id": {"after"}}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Assert(t, path.Dropped() > 0, "nothing was silenced")
+}
+
+// freeTCP returns a loopback address without a listener.
+func freeTCP(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- a/internal/standin/server/announce.go
+++ b/internal/standin/server/announce.go
@@ -33,7 +33,11 @@
 
 func (s *Server) announce(ctx context.Context) {
 	state, _ := s.state.Load().(string)
-	body, err := json.Marshal(announcement{Service: s.Service, Addr: s.Addr(), Slots: s.Slots, State: state})
+	addr := s.Advertise
+	if addr == "" {
+		addr = s.Addr()
+	}
+	body, err := json.Marshal(announcement{Service: s.Service, Addr: addr, Slots: s.Slots, State: state})
 	if err != nil || s.Announce == "" {
 		return
 	}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -21,6 +21,8 @@
 	Slots int
 	// Announce is the announce address (IP:port) of the node beside it.
 	Announce string
+	// Advertise is the address to announce; empty means the one in use.
+	Advertise string
 	// Entry is the caller address of a node, for chains of calls.
 	Entry string
 	// Delay is the usual time of a request.
