Do not take a pause of this process for the silence of a link

Cause: the check compared the time since the last packet only, so a node that was frozen or starved of processor time for 1.5 s closed live links at its next tick and told callers 'outcome unknown'. That fits the one failure of TestEveryCallerGetsItsOwnWholeAnswer at load average 47; it was not reproduced. Ruled out: a longer limit, which delays the detection of real silence. Change: a link is closed 1 s after its ping, and a gap between ticks of more than 250 ms starts the watch anew. Conclusion: only an unanswered ping closes a link.

--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -44,8 +44,10 @@
 	// Only the tick reads and writes the fields below.
 	packets  uint64
 	heard    time.Time
-	pinged   bool
 	observed *quic.Conn
+	// pinged is when the ping was sent; zero when none waits.
+	pinged time.Time
+	ticked time.Time
 }
 
 // get returns the open connection or dials one. Concurrent callers share one
@@ -120,15 +122,19 @@
 		return silenceNone
 	}
 	packets := conn.ConnectionStats().PacketsReceived
-	if conn != l.observed || packets != l.packets {
-		l.observed, l.packets, l.heard, l.pinged = conn, packets, now, false
+	// After a gap between ticks this process was paused, and packets that came
+	// meanwhile may not be read yet.
+	paused := now.Sub(l.ticked) > maxTickGap
+	l.ticked = now
+	if conn != l.observed || packets != l.packets || paused {
+		l.observed, l.packets, l.heard, l.pinged = conn, packets, now, time.Time{}
 		return silenceNone
 	}
-	switch quiet := now.Sub(l.heard); {
-	case quiet >= pingAfter+deadAfter:
+	switch {
+	case !l.pinged.IsZero() && now.Sub(l.pinged) >= deadAfter:
 		return silenceClose
-	case quiet >= pingAfter && !l.pinged:
-		l.pinged = true
+	case l.pinged.IsZero() && now.Sub(l.heard) >= pingAfter:
+		l.pinged = now
 		return silencePing
 	default:
 		return silenceNone
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -28,6 +28,8 @@
 	// is pinged; deadAfter is how long the ping may stay without any packet.
 	pingAfter = 500 * time.Millisecond
 	deadAfter = time.Second
+	// maxTickGap is far above the interval between ticks.
+	maxTickGap = 250 * time.Millisecond
 
 	maxStreams = 4096
 
--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -196,6 +196,10 @@
 		awaitPackets(t, l)
 	}
 	assert.Assert(t, l.current().Context().Err() == nil, "a slow server's link was closed")
+	// The process was paused; it must not take its own pause for silence.
+	now = now.Add(10 * time.Second)
+	near.Tick(now)
+	assert.Assert(t, l.current() != nil, "a link was closed after a pause of this process")
 
 	path.Set(relay.Silent)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -232,7 +236,7 @@
 // awaitPackets waits for the acknowledgement of a ping that the tick sent.
 func awaitPackets(t *testing.T, l *link) {
 	t.Helper()
-	if !l.pinged {
+	if l.pinged.IsZero() {
 		return
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
