--- a/internal/owner/cluster_test.go
+++ b/internal/owner/cluster_test.go
@@ -88,6 +88,9 @@
 	*cluster
 	// lose drops control messages of this kind that the node sends.
 	lose atomic.Value
+	// sending is called before a control message is delivered and delivered
+	// after it; each may be nil.
+	sending, delivered func(kind string)
 	// next answers at the backend server.
 	next func(ctx context.Context, r call.Request) (*call.Answer, error)
 }
@@ -159,7 +162,14 @@
 	if kind == n.lose.Load() || n.Status(to.Keeper.Self) >= once.Dead || n.Status(n.Keeper.Self) >= once.Dead {
 		return nil, fault.New(fault.KindUnreachable, "message to %s was lost", peer.ID)
 	}
-	return to.Controls()[kind](ctx, n.Keeper.Self.ID, body)
+	if n.sending != nil {
+		n.sending(kind)
+	}
+	reply, err := to.Controls()[kind](ctx, n.Keeper.Self.ID, body)
+	if n.delivered != nil {
+		n.delivered(kind)
+	}
+	return reply, err
 }
 
 func (n *testNode) Call(ctx context.Context, peer node.Peer, r call.Request) (*call.Answer, error) {
--- /dev/null
+++ b/internal/owner/release_test.go
@@ -0,0 +1,62 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/once"
+)
+
+// TestReleaseReachesNextOwner guards against a first send that is answered
+// "still running" by the next owner, because the claim that the stopping owner
+// gave up had not been released there yet.
+func TestReleaseReachesNextOwner(t *testing.T) {
+	cases := map[string]struct {
+		// moves is the event at the owner during which its shards move.
+		moves func(owner *testNode, move func())
+	}{
+		"pair changes before the claim is confirmed": {moves: func(owner *testNode, move func()) {
+			owner.delivered = func(kind string) {
+				if kind == KindClaim {
+					move()
+				}
+			}
+		}},
+		"server refuses after the hand-over": {moves: func(owner *testNode, move func()) {
+			owner.next = func(context.Context, call.Request) (*call.Answer, error) {
+				move()
+				return nil, fault.New(fault.KindUnreachable, "no connection").WithOutcome(fault.Refused)
+			}
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a1", "b1", "c1")
+			c.nodes["a1"].expect(t, "", request("k"))
+			s, owner, _, third := c.pair(t, "k")
+			c.settled()
+			move := sync.OnceFunc(func() {
+				c.setStatus(s.Owner, once.Leaving)
+				owner.handOverMap(t.Context(), "orders")
+			})
+			tc.moves(owner, move)
+			owner.sending = func(kind string) {
+				if kind == KindSettle {
+					time.Sleep(20 * time.Millisecond) // the delay of a slow link
+				}
+			}
+			key := sameShard(s)
+			third.expect(t, "", request(key))
+			moved, err := third.load(t.Context(), "orders", time.Now())
+			assert.NilError(t, err)
+			assert.Assert(t, moved.Shards[s.Index].Owner != s.Owner)
+			assert.Equal(t, c.runs(key), 1)
+		})
+	}
+}
