Follow a shard that moves twice while a key is claimed

A rolling replacement changes a shard twice within milliseconds, by the hand-over and by the new backup or the rebalancing after it, and the entry node followed one change only.

Ruled out: an entry node that reads an old map (the look at the table starts after the refusal); a lost announcement (the owner loads the table when the request names a later epoch).

Change: the entry node follows up to four epochs. Each try before was a refusal, so nothing runs twice.

Before: TestShardThatMovesTwice fails with 'the shard's pair has changed'.

Conclusion: a key is refused only if its shard changes four times in one request, or if the table cannot be read.

--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -22,6 +22,10 @@
 	// syncWait bounds how long a new key waits for the copy to a new backup. The
 	// copy takes milliseconds; at 500 ms keys were refused on a busy machine.
 	syncWait = 3 * time.Second
+	// maxMoves bounds how many owners or pairs a request tries. A rolling
+	// replacement changes a shard twice within milliseconds: the hand-over and
+	// the new backup.
+	maxMoves = 4
 )
 
 // Controller runs keyed requests at most once and passes all others on. Set
@@ -84,27 +88,29 @@
 // scopedKey keeps the keys of tenants apart.
 func scopedKey(r call.Request) string { return r.Tenant + "\x00" + r.Key }
 
-// enter finds the owner of a key and has it answer. A refusal by a node that
-// is not the owner any more is followed by one look at the table.
+// enter finds the owner of a key and has it answer. A refusal by a node whose
+// shard has moved is followed by a look at the table.
 func (c *Controller) enter(ctx context.Context, r call.Request) (*call.Answer, error) {
 	var tried once.Shard
 	var refusal error
-	for after := (time.Time{}); ; after = c.now() {
+	var after time.Time
+	for range maxMoves {
 		m, err := c.load(ctx, r.Service, after)
 		if err != nil {
 			return nil, firstError(refusal, err)
 		}
 		s := m.Shard(scopedKey(r))
 		if s.Epoch <= tried.Epoch {
-			return nil, refusal
+			break
 		}
 		answer, err := c.forward(ctx, r.WithEpoch(s.Epoch), s)
-		if err == nil || !movable(fault.As(err)) || tried.Epoch != 0 {
+		if err == nil || !movable(fault.As(err)) {
 			return answer, err
 		}
-		tried, refusal = s, err
+		tried, refusal, after = s, err, c.now()
 		c.poke(m, s)
 	}
+	return nil, refusal
 }
 
 func firstError(first, second error) error {
--- a/internal/owner/release_test.go
+++ b/internal/owner/release_test.go
@@ -60,3 +60,27 @@
 		})
 	}
 }
+
+// TestShardThatMovesTwice guards against a refusal of a new key in a rolling
+// replacement, where the shard's next pair changes too while the key is claimed.
+func TestShardThatMovesTwice(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1", "d1", "e1")
+	c.nodes["a1"].expect(t, "", request("k"))
+	s, _, _, _ := c.pair(t, "k")
+	c.settled()
+	key, moves := sameShard(s), 0
+	for _, n := range c.nodes {
+		n.delivered = func(kind string) {
+			if kind != KindClaim || moves == 2 {
+				return
+			}
+			moves++
+			c.setStatus(n.Keeper.Self, once.Leaving)
+			n.handOverMap(t.Context(), "orders")
+		}
+	}
+	_, _, err := c.nodes["a1"].send(t, request(key))
+	assert.NilError(t, err)
+	assert.Equal(t, moves, 2)
+	assert.Equal(t, c.runs(key), 1)
+}
