Wait at the next owner for the settlement of the owner before

The settlement goes to the pair without waiting, and a hand-over right after it lets the resend reach the next owner first.

Change: the new owner lets a key wait up to 1 s for the settlement when the claim is of an earlier epoch, and is woken when one comes. The wait of the old owner is taken back; one mechanism covers both.

Conclusion: a resend during a hand-over costs a wait instead of an unknown outcome; a key that still runs is answered still-running after 1 s.

--- a/internal/owner/client.go
+++ b/internal/owner/client.go
@@ -46,27 +46,14 @@
 }
 
 // settle stores how an attempt ended here and tells the rest of the pair
-// without waiting, except that a released key waits for its next owner. The
-// refused request is sent there again, and an owner that still holds the claim
-// answers that the key is running.
+// without waiting.
 func (c *Controller) settle(claim once.Claim, outcome once.Outcome, answer []byte) {
 	s := once.Settlement{Claim: claim, Outcome: outcome, Answer: answer}
 	c.Keeper.Settle(s, c.now())
 	shard, _ := c.Keeper.Shard(claim.Service, claim.Index)
 	for _, r := range [...]once.Ref{shard.Owner, shard.Backup} {
-		if r.IsZero() || r == c.Keeper.Self {
-			continue
-		}
-		sent := make(chan struct{})
-		c.tasks.Go(func() {
-			defer close(sent)
-			c.sendSettlement(r, s)
-		})
-		if outcome == once.OutcomeReleased && r == shard.Owner {
-			select {
-			case <-sent:
-			case <-time.After(claimTimeout):
-			}
+		if !r.IsZero() && r != c.Keeper.Self {
+			c.tasks.Go(func() { c.sendSettlement(r, s) })
 		}
 	}
 }
--- a/internal/owner/cluster_test.go
+++ b/internal/owner/cluster_test.go
@@ -184,10 +184,15 @@
 	if n.next != nil {
 		return n.next(ctx, r)
 	}
+	return n.execute(r), nil
+}
+
+// execute runs a request at the backend server.
+func (n *testNode) execute(r call.Request) *call.Answer {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 	n.executed[r.Key]++
-	return answerOf(fmt.Sprintf("order %s, run %d", r.Key, n.executed[r.Key])), nil
+	return answerOf(fmt.Sprintf("order %s, run %d", r.Key, n.executed[r.Key]))
 }
 
 func answerOf(body string) *call.Answer {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -22,6 +22,9 @@
 	// syncWait bounds how long a new key waits for the copy to a new backup. The
 	// copy takes milliseconds; at 500 ms keys were refused on a busy machine.
 	syncWait = 3 * time.Second
+	// settleWait bounds how long a key that runs under a claim of an earlier
+	// epoch waits for its settlement, which the owner before may just have sent.
+	settleWait = time.Second
 	// maxMoves bounds how many owners or pairs a request tries. A rolling
 	// replacement changes a shard twice within milliseconds: the hand-over and
 	// the new backup.
@@ -50,9 +53,9 @@
 	repairing, again atomic.Bool
 
 	mu sync.Mutex
-	// synced is closed and replaced when a backup holds all records; nil when
-	// nothing waits for it.
-	synced chan struct{}
+	// changed is closed and replaced when a backup holds all records or a
+	// settlement has come; nil when nothing waits for it.
+	changed chan struct{}
 }
 
 func (c *Controller) log() log.Interface {
@@ -165,21 +168,21 @@
 	return nil, c.refusal(verdict, r)
 }
 
-// begin looks the key up; a new key waits a little for the copy of records to
-// a new backup.
+// begin looks the key up. A new key waits a little for the copy of records to
+// a new backup, and a key of the owner before for its settlement.
 func (c *Controller) begin(ctx context.Context, service, key string, digest uint64) (once.Record, once.Verdict) {
 	var timeout <-chan time.Time
 	for {
-		changed := c.syncedSignal()
+		changed := c.changeSignal()
 		record, verdict := c.Keeper.Begin(service, key, digest, c.now())
-		if verdict != once.VerdictNoBackup {
+		wait := c.wait(record, verdict)
+		if wait == 0 {
 			return record, verdict
 		}
 		if timeout == nil {
-			timer := time.NewTimer(syncWait)
+			timer := time.NewTimer(wait)
 			defer timer.Stop()
 			timeout = timer.C
-			c.wake()
 		}
 		select {
 		case <-changed:
@@ -191,22 +194,36 @@
 	}
 }
 
-func (c *Controller) syncedSignal() <-chan struct{} {
+// wait returns how long a verdict may soon be another one.
+func (c *Controller) wait(record once.Record, verdict once.Verdict) time.Duration {
+	switch verdict {
+	case once.VerdictNoBackup:
+		c.wake()
+		return syncWait
+	case once.VerdictRunning:
+		if s, _ := c.Keeper.Shard(record.Service, record.Index); record.Epoch < s.Epoch {
+			return settleWait
+		}
+	}
+	return 0
+}
+
+func (c *Controller) changeSignal() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.synced == nil {
-		c.synced = make(chan struct{})
+	if c.changed == nil {
+		c.changed = make(chan struct{})
 	}
-	return c.synced
+	return c.changed
 }
 
-// signal wakes the keys that wait for a backup.
+// signal wakes the keys that wait for a backup or a settlement.
 func (c *Controller) signal() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.synced != nil {
-		close(c.synced)
-		c.synced = nil
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
 	}
 }
 
--- a/internal/owner/handler.go
+++ b/internal/owner/handler.go
@@ -34,6 +34,7 @@
 		return nil, err
 	}
 	c.Keeper.Settle(s, c.now())
+	c.signal()
 	return nil, nil
 }
 
--- a/internal/owner/release_test.go
+++ b/internal/owner/release_test.go
@@ -13,13 +13,14 @@
 	"github.com/vanillasail/vanillasail/pkg/once"
 )
 
-// TestReleaseReachesNextOwner guards against a first send that is answered
-// "still running" by the next owner, because the claim that the stopping owner
-// gave up had not been released there yet.
-func TestReleaseReachesNextOwner(t *testing.T) {
+// TestNextOwnerWaitsForSettlement guards against a key that the next owner calls
+// running, because the settlement of the stopping owner is still on its way.
+func TestNextOwnerWaitsForSettlement(t *testing.T) {
 	cases := map[string]struct {
 		// moves is the event at the owner during which its shards move.
 		moves func(owner *testNode, move func())
+		// resend is true for a key that has been answered before.
+		resend bool
 	}{
 		"pair changes before the claim is confirmed": {moves: func(owner *testNode, move func()) {
 			owner.delivered = func(kind string) {
@@ -34,6 +35,12 @@
 				return nil, fault.New(fault.KindUnreachable, "no connection").WithOutcome(fault.Refused)
 			}
 		}},
+		"resend after the hand-over": {resend: true, moves: func(owner *testNode, move func()) {
+			owner.next = func(_ context.Context, r call.Request) (*call.Answer, error) {
+				move()
+				return owner.execute(r), nil
+			}
+		}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -53,6 +60,10 @@
 			}
 			key := sameShard(s)
 			third.expect(t, "", request(key))
+			if tc.resend {
+				_, answer := third.expect(t, "", request(key))
+				assert.Assert(t, answer.Replayed)
+			}
 			moved, err := third.load(t.Context(), "orders", time.Now())
 			assert.NilError(t, err)
 			assert.Assert(t, moved.Shards[s.Index].Owner != s.Owner)
