Hold a measuring budget for the sum of all nodes

Cause: budgets held for each node only. A link's traffic for measuring was the budget times 355 nodes, and a server could be asked for its load by 709 nodes with a budget each, while those who pay for a link set one figure.

Ruled out: a shared counter in the table (a write for each message, and the store fails); leases of parts of the budget (state, and the store again); counting at the receiving end alone, which drops what has already crossed the link.

Change: budgets.total.links of a configuration are divided by the nodes of both regions, the largest number of the last minute and a tenth more for nodes that join unseen. budgets.total.server is kept by the node beside the server, which answers no more questions than that. A link or server that a configuration no longer names gets its default rate back; before, its rate stayed in force.

Conclusion: the sum holds while each node knows nine tenths of the others. When all nodes start at once it does not until they have joined.

--- a/internal/daemon/measuring.go
+++ b/internal/daemon/measuring.go
@@ -10,6 +10,7 @@
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/pkg/budget"
 	"github.com/vanillasail/vanillasail/pkg/config"
+	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/routing"
 )
 
@@ -28,14 +29,11 @@
 // load of servers whose load no answer has carried lately.
 type measuring struct {
 	common
+	budgets budgets
 	limits  *budget.Limiter
 	routes  *routing.Table
 	members *membership
 	node    *node.Transport
-	// version is the configuration whose budgets are in force; set is false
-	// until the first.
-	version config.Version
-	set     bool
 	probed  time.Time
 	targets []routing.ProbeTarget
 	running chan struct{}
@@ -45,13 +43,17 @@
 	m.common, m.limits, m.routes = n.far.common, &n.limits, &n.routes
 	m.members, m.node = &n.members, &n.peers
 	m.running = make(chan struct{}, maxProbes)
+	m.budgets = budgets{common: m.common, limits: m.limits, members: n.members.protocol.Table()}
 	n.peers.Controls[kindLoad] = func(context.Context, string, []byte) ([]byte, error) {
+		if !m.budgets.admit(time.Now()) {
+			return nil, fault.New(fault.KindOverloaded, "the measuring budget of the server beside node %s is spent", n.ID)
+		}
 		return msgpack.Marshal(n.far.load())
 	}
 }
 
 func (m *measuring) tick(ctx context.Context, now time.Time, current *config.Snapshot) {
-	m.configure(current)
+	m.budgets.tick(now, current)
 	if now.Sub(m.probed) < probeInterval {
 		return
 	}
@@ -62,33 +64,6 @@
 	}
 }
 
-// configure applies the budgets of the settings, and those of the configuration
-// where it names them.
-func (m *measuring) configure(current *config.Snapshot) {
-	if m.set && m.version == current.Version {
-		return
-	}
-	m.set, m.version = true, current.Version
-	m.limits.SetServers(*m.ServerBudget)
-	m.limits.SetLinks(*m.LinkBudget)
-	budgets := current.Document.Budgets
-	if budgets.Server != nil {
-		m.limits.SetServers(rateOf(*budgets.Server))
-	}
-	if budgets.Link != nil {
-		m.limits.SetLinks(rateOf(*budgets.Link))
-	}
-	for from, row := range budgets.Links {
-		for to, b := range row {
-			m.limits.Set(budget.Link(from, to), rateOf(b))
-		}
-	}
-}
-
-func rateOf(b config.Budget) budget.Rate {
-	return budget.Rate{Messages: int64(b.Messages), Bytes: int64(b.Bytes)}
-}
-
 // start sends a probe if the budgets allow it. Only open links are used: the
 // handshake of a new one costs more than the answer is worth.
 func (m *measuring) start(ctx context.Context, target routing.ProbeTarget, now time.Time) {
--- a/internal/operator/show_config.go
+++ b/internal/operator/show_config.go
@@ -105,16 +105,20 @@
 }
 
 func budgetsTable(d config.Document) *Table {
-	t := newTable("measuring budgets of each node, a second", text("scope"), text("from"), text("to"), integer("messages"), integer("bytes"))
-	server, link := d.ServerBudget(), d.LinkBudget("", "")
-	t.add("server", "*", "*", server.Messages, server.Bytes)
-	t.add("link", "*", "*", link.Messages, link.Bytes)
-	for _, from := range slices.Sorted(maps.Keys(d.Budgets.Links)) {
-		for _, to := range slices.Sorted(maps.Keys(d.Budgets.Links[from])) {
-			b := d.LinkBudget(from, to)
-			t.add("link", from, to, b.Messages, b.Bytes)
+	t := newTable("measuring budgets, a second", text("scope"), text("from"), text("to"), text("of"), integer("messages"), integer("bytes"))
+	add := func(scope, from, to, of string, b config.Budget) { t.add(scope, from, to, of, b.Messages, b.Bytes) }
+	add("server", "*", "*", "each node", d.ServerBudget())
+	add("server", "*", "*", "all nodes", d.ServerTotal())
+	add("link", "*", "*", "each node", d.LinkBudget("", ""))
+	addLinks := func(of string, links config.LinkBudgets) {
+		for _, from := range slices.Sorted(maps.Keys(links)) {
+			for _, to := range slices.Sorted(maps.Keys(links[from])) {
+				add("link", from, to, of, links[from][to])
+			}
 		}
 	}
+	addLinks("each node", d.Budgets.Links)
+	addLinks("all nodes", d.Budgets.Total.Links)
 	return t
 }
 
--- a/pkg/budget/key.go
+++ b/pkg/budget/key.go
@@ -70,6 +70,16 @@
 	Bytes    int64
 }
 
+// Split returns the even part of a rate that n nodes share. The parts never add
+// up to more than the rate.
+func (r Rate) Split(n int) Rate {
+	parts := int64(max(n, 1))
+	return Rate{r.Messages / parts, r.Bytes / parts}
+}
+
+// Min returns the lower of two rates, in messages and in bytes.
+func (r Rate) Min(o Rate) Rate { return Rate{min(r.Messages, o.Messages), min(r.Bytes, o.Bytes)} }
+
 func (r Rate) share(c Class) Rate {
 	return Rate{part(r.Messages, sharePercent[c]), part(r.Bytes, sharePercent[c])}
 }
--- a/pkg/budget/limiter.go
+++ b/pkg/budget/limiter.go
@@ -3,6 +3,7 @@
 package budget
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -136,23 +137,12 @@
 	l.refresh()
 }
 
-// Set gives one key a rate of its own. What was spent in the last second still
-// counts against the new rate.
-func (l *Limiter) Set(k Key, r Rate) {
+// Override gives the keys rates of their own and takes them from all other
+// keys. What was spent in the last second still counts against a new rate.
+func (l *Limiter) Override(rates map[Key]Rate) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.overrides == nil {
-		l.overrides = make(map[Key]Rate)
-	}
-	l.overrides[k] = r
-	l.refresh()
-}
-
-// Unset removes the key's own rate.
-func (l *Limiter) Unset(k Key) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.overrides, k)
+	l.overrides = maps.Clone(rates)
 	l.refresh()
 }
 
--- a/pkg/budget/limiter_test.go
+++ b/pkg/budget/limiter_test.go
@@ -111,7 +111,7 @@
 // Guards against a denied message that was charged to one of its two budgets.
 func TestAllKeysOrNone(t *testing.T) {
 	l, now := &Limiter{}, time.Unix(0, 0)
-	l.Set(Link("poa", "cwb"), Rate{})
+	l.Override(map[Key]Rate{Link("poa", "cwb"): {}})
 	assert.Assert(t, !l.Allow(Control, 1, now, Server("a"), Link("poa", "cwb")))
 	spent, _ := l.Counters(Server("a")).Total()
 	assert.Equal(t, spent.Messages, uint64(0))
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -27,6 +27,8 @@
 var (
 	DefaultServerBudget = Budget{Messages: 20, Bytes: 4096}
 	DefaultLinkBudget   = Budget{Messages: 20, Bytes: 1024}
+	// DefaultServerTotal is for all nodes together.
+	DefaultServerTotal = Budget{Messages: 200, Bytes: 40 << 10}
 )
 
 // Document is one configuration. It is immutable: nobody changes its maps after
@@ -84,12 +86,21 @@
 	Drained bool `yaml:"drained,omitempty"`
 }
 
-// Budgets holds the measuring budgets of one node.
+// LinkBudgets maps the region of origin, then of destination, to a budget.
+type LinkBudgets map[string]map[string]Budget
+
+// Budgets holds the measuring budgets of one node, and of all nodes together.
 type Budgets struct {
-	Server *Budget `yaml:"server,omitempty"` // for each backend server
-	Link   *Budget `yaml:"link,omitempty"`   // for each link without its own entry
-	// Links maps the region of origin, then of destination, to a budget.
-	Links map[string]map[string]Budget `yaml:"links,omitempty" validate:"dive,keys,name,endkeys,dive,keys,name,endkeys"`
+	Server *Budget     `yaml:"server,omitempty"` // for each backend server
+	Link   *Budget     `yaml:"link,omitempty"`   // for each link without its own entry
+	Links  LinkBudgets `yaml:"links,omitempty" validate:"dive,keys,name,endkeys,dive,keys,name,endkeys"`
+	Total  Totals      `yaml:"total,omitempty"`
+}
+
+// Totals bounds the sum over all nodes, beside the budget of each.
+type Totals struct {
+	Server *Budget     `yaml:"server,omitempty"` // for each backend server
+	Links  LinkBudgets `yaml:"links,omitempty" validate:"dive,keys,name,endkeys,dive,keys,name,endkeys"`
 }
 
 // Budget bounds messages and bytes a second. Zero in both forbids measuring.
@@ -187,6 +198,9 @@
 	return or(d.Budgets.Link, DefaultLinkBudget)
 }
 
+// ServerTotal returns the measuring budget that all nodes share for one server.
+func (d Document) ServerTotal() Budget { return or(d.Budgets.Total.Server, DefaultServerTotal) }
+
 // TenantWeight returns the tenant's share of a queue.
 func (d Document) TenantWeight(name string) int { return max(d.Tenants[name].Weight, DefaultWeight) }
 
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -51,21 +51,21 @@
 }
 
 func (b Budgets) problems() (problems []string) {
-	check := func(field string, v Budget) {
-		if (v.Messages == 0) != (v.Bytes == 0) {
-			problems = append(problems, field+": messages and bytes must both be zero or both be set")
+	single := map[string]*Budget{"budgets.server": b.Server, "budgets.link": b.Link, "budgets.total.server": b.Total.Server}
+	for field, v := range single {
+		if v != nil {
+			problems = append(problems, v.problems(field)...)
 		}
 	}
-	if b.Server != nil {
-		check("budgets.server", *b.Server)
-	}
-	if b.Link != nil {
-		check("budgets.link", *b.Link)
-	}
-	for from, links := range b.Links {
+	problems = append(problems, b.Links.problems("budgets.links.")...)
+	return append(problems, b.Total.Links.problems("budgets.total.links.")...)
+}
+
+func (l LinkBudgets) problems(prefix string) (problems []string) {
+	for from, links := range l {
 		for to, v := range links {
-			field := "budgets.links." + from + "." + to
-			check(field, v)
+			field := prefix + from + "." + to
+			problems = append(problems, v.problems(field)...)
 			if from == to {
 				problems = append(problems, field+": a link joins two regions; name another region")
 			}
@@ -74,6 +74,13 @@
 	return problems
 }
 
+func (b Budget) problems(field string) []string {
+	if (b.Messages == 0) != (b.Bytes == 0) {
+		return []string{field + ": messages and bytes must both be zero or both be set"}
+	}
+	return nil
+}
+
 func fieldProblems(err error) (problems []string) {
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) {
