Keep one function that sleeps with a context, one that collects rates

Cause: the same wait for a time or the end of a context stood in four places, and the report collected two counters with the same lines.

Ruled out: a library for it; the function has eight lines.

Change: internal/clock holds Sleep; operator.ratesOf collects by a key.

Conclusion: no change in behaviour.

--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
@@ -111,7 +112,7 @@
 		if start.Verdict == quarantine.Refuse {
 			return start, c.refusal(r)
 		}
-		if !sleepContext(ctx, suspectPause) {
+		if !clock.Sleep(ctx, suspectPause) {
 			return start, fault.New(fault.KindDeadline, "the request may run only without other suspects of a crash, and its deadline came first").
 				WithOutcome(fault.Refused)
 		}
@@ -212,15 +213,3 @@
 		}
 	}
 }
-
-// sleepContext reports whether the time passed before ctx ended.
-func sleepContext(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"time"
+
+	"github.com/vanillasail/vanillasail/internal/clock"
 )
 
 const slowFactor = 10
@@ -22,7 +23,7 @@
 		{"n3: the node stops gracefully", func() { s.stopNode(ctx, 3) }},
 	}
 	for _, step := range steps {
-		if !sleep(ctx, part) {
+		if !clock.Sleep(ctx, part) {
 			return
 		}
 		fmt.Fprintln(s.Out, "fault:", step.name)
@@ -39,14 +40,3 @@
 	s.load.Avoid(s.nodes[i].CallerAddr())
 	go s.nodes[i].Stop(context.WithoutCancel(ctx))
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -5,11 +5,12 @@
 	"fmt"
 	"time"
 
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/standin/server"
 )
 
 func (s *system) progress(ctx context.Context) {
-	for sleep(ctx, time.Second) {
+	for clock.Sleep(ctx, time.Second) {
 		t := s.load.Totals()
 		fmt.Fprintf(s.Out, "ran=%d refused=%d unknown=%d\n", t.Ran, t.Refused, t.Unknown)
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/vanillasail/vanillasail/internal/clock"
 )
 
 const (
@@ -85,18 +87,9 @@
 			defer client.CloseIdleConnections()
 			for n := 0; ctx.Err() == nil; n++ {
 				l.one(client, i, n)
-				sleep(ctx, pause)
+				clock.Sleep(ctx, pause)
 			}
 		})
 	}
 	wg.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/operator/report_rates.go
+++ b/internal/operator/report_rates.go
@@ -19,34 +19,34 @@
 // differ in length, so reports compare rates and not counts.
 type rates struct{ before, after float64 }
 
-func (c comparison) links() map[link]rates {
-	all := map[link]rates{}
-	for _, b := range c.before.Links {
-		r := all[link{b.From, b.To}]
-		r.before += c.before.rate(b.Bytes)
-		all[link{b.From, b.To}] = r
+// ratesOf collects the rates of counters, which count returns by key.
+func ratesOf[K comparable, T any](c comparison, before, after []T, count func(T) (K, int64)) map[K]rates {
+	all := map[K]rates{}
+	for _, x := range before {
+		key, n := count(x)
+		r := all[key]
+		r.before += c.before.rate(n)
+		all[key] = r
 	}
-	for _, b := range c.after.Links {
-		r := all[link{b.From, b.To}]
-		r.after += c.after.rate(b.Bytes)
-		all[link{b.From, b.To}] = r
+	for _, x := range after {
+		key, n := count(x)
+		r := all[key]
+		r.after += c.after.rate(n)
+		all[key] = r
 	}
 	return all
 }
 
+func (c comparison) links() map[link]rates {
+	return ratesOf(c, c.before.Links, c.after.Links, func(b LinkBytes) (link, int64) {
+		return link{b.From, b.To}, b.Bytes
+	})
+}
+
 func (c comparison) refusals() map[refusal]rates {
-	all := map[refusal]rates{}
-	for _, n := range c.before.Refusals {
-		r := all[refusal{n.Label, n.Reason}]
-		r.before += c.before.rate(n.Count)
-		all[refusal{n.Label, n.Reason}] = r
-	}
-	for _, n := range c.after.Refusals {
-		r := all[refusal{n.Label, n.Reason}]
-		r.after += c.after.rate(n.Count)
-		all[refusal{n.Label, n.Reason}] = r
-	}
-	return all
+	return ratesOf(c, c.before.Refusals, c.after.Refusals, func(n Refusals) (refusal, int64) {
+		return refusal{n.Label, n.Reason}, n.Count
+	})
 }
 
 func sortedLinks(all map[link]rates) []link {
--- a/internal/standin/server/handle.go
+++ b/internal/standin/server/handle.go
@@ -9,6 +9,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/vanillasail/vanillasail/internal/clock"
 )
 
 // handle runs one request. The query may hold: delay (milliseconds), size
@@ -81,14 +83,7 @@
 		s.faults.count("slow")
 		delay *= time.Duration(slow)
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, delay)
 }
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, body []byte, query url.Values) {
