Submit a whole configuration document with apply

The configurations under examples/ could be read by no command: services, rules and budgets had to be set field by field.

apply takes a document below its line (POST /v1/command) or a file that the command line or the shell reads. It passes through the same path as set and undo, so base, conflict rule, change ID, dry run and roles are the same. config.Parse refuses what Decode refuses and names line and column; it also refuses a text without a field, which would remove every service, and a second document, which the YAML decoder ignores silently.

--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -38,6 +38,10 @@
 func operatorCommands(in io.Reader, out, errors io.Writer) []*operatorCommand {
 	all := []*operatorCommand{watchCommand(out), shellCommand(in, out), tokenCommand(out)}
 	for _, v := range operator.Verbs {
+		if v.Name == applyVerb {
+			all = append(all, applyCommand(v, out))
+			continue
+		}
 		all = append(all, verbCommand(v, out))
 	}
 	for _, c := range all {
--- a/internal/cli/operate_test.go
+++ b/internal/cli/operate_test.go
@@ -69,6 +69,7 @@
 	startNode(t)
 	settings := filepath.Join(t.TempDir(), "node.yaml")
 	assert.NilError(t, os.WriteFile(settings, []byte("node: {}\n"), 0o600))
+	const example, wrong = "../../examples/geadasul/configuration.yaml", "testdata/wrong.yaml"
 	steps := []struct {
 		args  string // separated by |
 		input string
@@ -86,6 +87,17 @@
 		{args: `show|-nodes|127.0.0.1:1|config`, code: 4, want: "name another node"},
 		{args: `show|-token|x|config`, code: 1, want: "token"},
 		{args: `undo|2|because|slow|dry|run`, want: "dry run: nothing was changed"},
+		{args: `apply|` + example + `|--dry-run`, want: "services.stock.queue    64      48"},
+		{args: `apply|` + example, code: 2, want: "the change has no reason"},
+		{args: `apply|` + example + `|--base|1|--reason|late`, code: 3, want: `conflict: version 2 was already made by ana: "trucks wait for \"slots\""`},
+		{args: `apply|` + example + `|--reason|stock and "dispatch"`, want: `stock and "dispatch"`},
+		{args: `apply|` + example + `|because|again`, want: "version 3 says this already; nothing was changed"},
+		{args: `apply|"` + example + `" because "again"`, want: "version 3 says this already"},
+		{args: `apply|-base|x|` + example, code: 2, want: "list the versions with show versions"},
+		{args: `apply|` + wrong + `|--dry-run`, code: 2, want: wrong + `: configuration: [3:5] unknown field "quue"; correct or remove`},
+		{args: `apply|none.yaml|--dry-run`, code: 2, want: "no such file or directory; name a readable YAML file"},
+		{args: `apply`, code: 2, want: "write apply FILE"},
+		{args: `shell`, input: `apply "` + example + "\" because \"again\"\n", want: "version 3 says this already"},
 		{args: `watch|-every|100ms|-count|2|show|versions`, want: "versions\n"},
 		{args: `watch|set|services.stock.queue = 1 because "x"`, code: 2, want: "only queries"},
 		{args: `shell`, input: "show versions limit 1\nshow nothing\nexit\n", want: "write show TARGET"},
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
@@ -27,9 +29,11 @@
 	// JSON asks for JSON instead of text.
 	JSON bool
 	HTTP *http.Client
+	// ReadFile reads the document that an apply names; nil means os.ReadFile.
+	ReadFile func(name string) ([]byte, error)
 }
 
-// Run sends one command and returns the rendered result. A change is sent with
+// Run sends one command, with the file that an apply names, and returns the rendered result. A change is sent with
 // one ID and base to every node that is tried, so it is accepted at most once
 // even when an answer is lost.
 func (c Client) Run(ctx context.Context, command string) (string, error) {
@@ -37,6 +41,10 @@
 	if c.JSON {
 		header.Set("Accept", typeJSON)
 	}
+	command, err := c.attach(command)
+	if err != nil {
+		return "", err
+	}
 	if changes(command) {
 		base, err := c.try(ctx, http.MethodGet, PathVersion, "", header)
 		if err != nil {
@@ -48,6 +56,30 @@
 	return c.try(ctx, http.MethodPost, PathCommand, command, header)
 }
 
+// attach puts the file that an apply names below its line, unless a document
+// stands there already.
+func (c Client) attach(command string) (string, error) {
+	line, document := cutDocument(command)
+	cmd, err := parse(line)
+	if err != nil || cmd.Apply == nil || cmd.Apply.File == "" || document != "" {
+		// The node refuses a command that does not parse.
+		return command, nil
+	}
+	read := c.ReadFile
+	if read == nil {
+		read = os.ReadFile
+	}
+	text, err := read(cmd.Apply.File)
+	if err != nil {
+		return "", fault.New(fault.KindBadRequest, "configuration: %v", err).WithRemedy("name a readable YAML file after apply")
+	}
+	if len(text) > config.MaxBody {
+		return "", fault.New(fault.KindTooLarge, "%s has %d bytes; a configuration has at most %d", cmd.Apply.File, len(text), config.MaxBody).
+			WithRemedy("remove unused services and servers")
+	}
+	return line + "\n" + string(text), nil
+}
+
 // changes reports whether the command is a change; one that does not parse is
 // left to the node to refuse.
 func changes(command string) bool {
--- a/internal/operator/console.go
+++ b/internal/operator/console.go
@@ -26,8 +26,9 @@
 	Log log.Interface
 }
 
-// Request is one command line.
+// Request is one command.
 type Request struct {
+	// Text is one line; after apply the document follows on further lines.
 	Text string
 	// ID and Base make a change safe to send again; either both are set or
 	// neither. An "on" clause in the text replaces Base.
@@ -40,6 +41,8 @@
 	*Console
 	Request
 	who Identity
+	// document is the text below the line of an apply.
+	document string
 }
 
 // Run executes one command. Errors are of the kinds of package fault.
@@ -53,6 +56,7 @@
 			WithRemedy("use a token with the role operator, or add dry run or unsaved")
 	}
 	x := &run{Console: c, Request: r, who: who}
+	x.Text, x.document = cutDocument(r.Text)
 	switch {
 	case cmd.Show != nil:
 		return x.show(ctx, cmd.Show)
@@ -66,6 +70,8 @@
 		return x.reset(ctx, cmd.Reset)
 	case cmd.Undo != nil:
 		return x.undo(ctx, cmd.Undo)
+	case cmd.Apply != nil:
+		return x.apply(ctx, cmd.Apply)
 	case cmd.Create != nil:
 		return x.create(ctx, cmd.Create)
 	case cmd.Set != nil:
@@ -90,6 +96,8 @@
 		return &c.Drain.Clause
 	case c.Undo != nil:
 		return &c.Undo.Clause
+	case c.Apply != nil:
+		return &c.Apply.Clause
 	case c.Reset != nil:
 		return &c.Reset.Clause
 	}
--- a/internal/operator/grammar.go
+++ b/internal/operator/grammar.go
@@ -36,6 +36,7 @@
 	Drain   *drain   `parser:"| 'drain' @@"`
 	Diff    *diff    `parser:"| 'diff' @@"`
 	Undo    *undo    `parser:"| 'undo' @@"`
+	Apply   *apply   `parser:"| 'apply' @@"`
 	Report  *report  `parser:"| 'report' @@"`
 	Reset   *reset   `parser:"| 'reset' @@"`
 }
@@ -97,6 +98,14 @@
 	Clause  clauses `parser:"@@"`
 }
 
+// apply is followed by the document on the lines below the command. The file
+// names where a client finds it, and where errors are.
+type apply struct {
+	Pos    lexer.Position
+	File   string  `parser:"( (?! 'because' | 'on' | 'dry') ( @'.' )* @(Word | String) ( ( @'.' )+ @Word )* )?"`
+	Clause clauses `parser:"@@"`
+}
+
 type report struct {
 	Version number `parser:"@@"`
 	As      string `parser:"( 'as' @('text' | 'json' | 'svg') )?"`
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -61,12 +62,16 @@
 }
 
 func (h *Handler) command(w http.ResponseWriter, r *http.Request, who Identity) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCommand))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCommand+config.MaxBody))
+	text := strings.TrimSpace(string(body))
+	if line, _ := cutDocument(text); err == nil && len(line) > maxCommand {
+		err = fmt.Errorf("%d bytes are over the limit of %d", len(line), maxCommand)
+	}
 	if err != nil {
 		writeProblem(w, fault.New(fault.KindTooLarge, "command: %v", err).WithRemedy("split it into several commands"))
 		return
 	}
-	req := Request{Text: strings.TrimSpace(string(body)), ID: r.Header.Get(HeaderID)}
+	req := Request{Text: text, ID: r.Header.Get(HeaderID)}
 	if base := r.Header.Get(HeaderBase); base != "" {
 		n, err := strconv.ParseUint(base, 10, 64)
 		if err != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -153,6 +153,40 @@
 	assert.Assert(t, strings.Contains(out.String(), "(none)\n> error: bad-request: column 6"), out.String())
 }
 
+// Guards against a document that is applied in part, on another version than
+// its base, by a viewer, or that makes a version without a change.
+func TestApplyOverHTTP(t *testing.T) {
+	f := start(t)
+	c, viewer := f.client(t, operator.RoleOperator), f.client(t, operator.RoleViewer)
+	const first = "services:\n  stock: {queue: 32}\ntenants: {geada: {}}\n"
+	steps := []struct {
+		client        operator.Client
+		command, want string
+	}{
+		{viewer, "apply dry run\n" + first, "services.stock  -       {queue: 32}\ntenants.geada   -       {}\n\ndry run: nothing was changed"},
+		{viewer, `apply because "first"` + "\n" + first, "forbidden"},
+		{c, `apply because "first"` + "\r\n" + first, "1        ana"},
+		{c, `apply because "again"` + "\n" + first, "version 1 says this already; nothing was changed"},
+		{c, `apply because "second"` + "\n" + "services:\n  stock: {queue: 16}", "tenants.geada         {}      -"},
+		{c, `apply on 1 because "late"` + "\n" + first, `conflict: version 2 was already made by ana: "second"`},
+		{c, `apply on 9 because "early"` + "\n" + first, "version 9 does not exist"},
+		{c, "apply\n" + first, "the change has no reason"},
+		{c, `apply f.yaml because "x"` + "\nservices:\n  stock: {queue: -1}", "f.yaml: configuration: [2:11] services.stock.queue: -1 is not allowed; use at least 0"},
+		{c, `apply because "x"`, "no document follows the command"},
+		{c, `apply becuase "x"` + "\n" + first, "column 15: unexpected token"},
+		{c, `apply because "x"` + "\n" + strings.Repeat("#", config.MaxBody+1), "too-large"},
+		{c, `set tenants.a.weight = 1 because "` + strings.Repeat("x", 64<<10), "too-large"},
+		{c, "show versions limit 1", "2        ana"},
+	}
+	for _, s := range steps {
+		got, err := s.client.Run(t.Context(), s.command)
+		if err != nil {
+			got = err.Error()
+		}
+		assert.Assert(t, strings.Contains(got, s.want), "%.99s\n%s", s.command, got)
+	}
+}
+
 // dropReply loses the reply of the first POST after it was handled.
 type dropReply struct{ dropped bool }
 
--- a/internal/operator/parse.go
+++ b/internal/operator/parse.go
@@ -22,13 +22,16 @@
 	{"set", "change fields of the configuration", `set PATH = VALUE, ... because "REASON"`, `set services.stock.rules."POST /stock/lookup" = idempotent because "lookups may be retried"`},
 	{"remove", "take a field or an entry away, so that defaults apply", `remove PATH because "REASON"`, `remove tenants.geada because "contract ended"`},
 	{"drain", "send no new work to a server", `drain SERVER of SERVICE [off] because "REASON"`, `drain poa-a-7 of stock because "cold room 7 is being serviced"`},
+	{"apply", "submit a whole configuration document", `apply [FILE] because "REASON"`, `apply configuration.yaml on 12 because "rules of the new cold rooms"`},
 	{"diff", "compare two versions of the configuration", `diff [FROM [TO]]`, `diff 11 12`},
 	{"undo", "take the changes of one version back", `undo VERSION because "REASON"`, `undo 12 because "p99 of dispatch doubled" dry run`},
 	{"report", "compare latency, measuring and refusals before and after a change", `report VERSION [as text|json|svg] [unsaved]`, `report 12 as svg`},
 	{"reset", "give a shard of at-most-once records a new owner and backup", `reset shard N of SERVICE because "REASON"`, `reset shard 3 of dispatch because "owner and backup were both replaced"`},
 }
 
+// parse reads the command, without the document that may follow it.
 func parse(text string) (*command, error) {
+	text, _ = cutDocument(text)
 	cmd, err := grammar.ParseString("", text)
 	if err == nil {
 		return cmd, nil
@@ -40,6 +43,15 @@
 	return nil, at(text, located.Position(), located.Message()).WithRemedy(usage(text))
 }
 
+// cutDocument separates the line of an apply from the document below it.
+func cutDocument(text string) (command, document string) {
+	if words := strings.Fields(text); len(words) == 0 || words[0] != "apply" {
+		return text, ""
+	}
+	command, document, _ = strings.Cut(strings.TrimLeft(text, " \t\r\n"), "\n")
+	return strings.TrimRight(command, "\r"), document
+}
+
 // at points at a column of the command.
 func at(text string, pos lexer.Position, format string, args ...any) *fault.Error {
 	column := max(pos.Column, 1)
--- a/internal/scenario/operate_test.go
+++ b/internal/scenario/operate_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/operator"
 )
 
-// operate sends one command as an operator; the result is kept for await answer.
+// operate sends one command as an operator; the result or the error is kept for
+// await answer. Files are those of the script.
 func (w *world) operate(a nodeAddrs, text string) error {
 	key, err := operator.SecretKey("settings", []byte(tokenSecret))
 	if err != nil {
@@ -20,8 +24,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
 	defer cancel()
-	client := operator.Client{Nodes: []string{"http://" + a.operator}, Token: token}
+	client := operator.Client{Nodes: []string{"http://" + a.operator}, Token: token, ReadFile: func(name string) ([]byte, error) {
+		return os.ReadFile(filepath.Join(w.dir, name))
+	}}
 	result, err := client.Run(ctx, text)
+	if err != nil {
+		result = err.Error()
+	}
 	w.last = answer{text: result, outcome: fmt.Sprint(operator.ExitCode(err))}
 	return err
 }
+
+// edit FILE OLD NEW replaces the only occurrence of a text in a file.
+func (w *world) edit(args []string) error {
+	path := filepath.Join(w.dir, args[0])
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if n := strings.Count(string(text), args[1]); n != 1 {
+		return fmt.Errorf("%s holds %q %d times, want once", args[0], args[1], n)
+	}
+	return os.WriteFile(path, []byte(strings.Replace(string(text), args[1], args[2], 1)), 0o600)
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -22,6 +23,11 @@
 		Setup: func(env *testscript.Env) error {
 			w := &world{dir: env.WorkDir, path: env.Getenv("PATH"), ip: newIP(), taken: make(map[string]bool), processes: make(map[string]*process)}
 			env.Values[worldKey{}] = w
+			examples, err := filepath.Abs("../../examples")
+			if err != nil {
+				return err
+			}
+			env.Setenv("EXAMPLES", examples)
 			env.Defer(w.close)
 			return nil
 		},
@@ -41,6 +47,7 @@
 			"runs":    script((*world).runs),
 			"await":   script((*world).await),
 			"command": script((*world).command),
+			"edit":    script((*world).edit),
 		},
 	})
 }
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -32,61 +32,99 @@
 	return v
 }
 
+// problem is one field that breaks a rule, with the remedy in its text.
+type problem struct {
+	path Path
+	text string
+}
+
+func (p problem) String() string { return strings.Join(p.path, ".") + ": " + p.text }
+
 // Validate checks ranges and the relations between fields. Its error names
 // every wrong field and the remedy.
 func (d Document) Validate() error {
-	problems := fieldProblems(validate.Struct(d))
-	for name, s := range d.Services {
-		if byDefault, longest := s.Timeouts(); byDefault > longest {
-			problems = append(problems, fmt.Sprintf("services.%s.timeout.default: %v is over longest %v; lower it or raise longest", name, byDefault, longest))
-		}
+	var texts []string
+	for _, p := range d.problems() {
+		texts = append(texts, p.String())
 	}
-	problems = append(problems, d.Budgets.problems()...)
+	slices.Sort(texts)
+	return refused(texts, "; ")
+}
+
+// refused returns the error of a document with problems, or nil without any.
+func refused(problems []string, separator string) error {
 	if len(problems) == 0 {
 		return nil
 	}
-	slices.Sort(problems)
-	return fault.New(fault.KindBadRequest, "configuration: %s", strings.Join(problems, "; ")).
+	return fault.New(fault.KindBadRequest, "configuration: %s", strings.Join(problems, separator)).
 		WithRemedy("correct the named fields and submit again")
 }
 
-func (b Budgets) problems() (problems []string) {
-	check := func(field string, v Budget) {
+func (d Document) problems() []problem {
+	problems := fieldProblems(validate.Struct(d))
+	for name, s := range d.Services {
+		if byDefault, longest := s.Timeouts(); byDefault > longest {
+			text := fmt.Sprintf("%v is over longest %v; lower it or raise longest", byDefault, longest)
+			problems = append(problems, problem{Path{"services", name, "timeout", "default"}, text})
+		}
+	}
+	return append(problems, d.Budgets.problems()...)
+}
+
+func (b Budgets) problems() (problems []problem) {
+	check := func(v Budget, path ...string) {
 		if (v.Messages == 0) != (v.Bytes == 0) {
-			problems = append(problems, field+": messages and bytes must both be zero or both be set")
+			problems = append(problems, problem{path, "messages and bytes must both be zero or both be set"})
 		}
 	}
 	if b.Server != nil {
-		check("budgets.server", *b.Server)
+		check(*b.Server, "budgets", "server")
 	}
 	if b.Link != nil {
-		check("budgets.link", *b.Link)
+		check(*b.Link, "budgets", "link")
 	}
 	for from, links := range b.Links {
 		for to, v := range links {
-			field := "budgets.links." + from + "." + to
-			check(field, v)
+			check(v, "budgets", "links", from, to)
 			if from == to {
-				problems = append(problems, field+": a link joins two regions; name another region")
+				problems = append(problems, problem{Path{"budgets", "links", from, to}, "a link joins two regions; name another region"})
 			}
 		}
 	}
 	return problems
 }
 
-func fieldProblems(err error) (problems []string) {
+func fieldProblems(err error) (problems []problem) {
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) {
 		return nil
 	}
 	for _, f := range fields {
 		_, field, _ := strings.Cut(f.Namespace(), ".")
-		field = strings.NewReplacer("[", ".", "]", "").Replace(field)
-		problems = append(problems, fmt.Sprintf("%s: %v is not allowed; %s", field, f.Value(), remedy(f)))
+		problems = append(problems, problem{namespacePath(field), fmt.Sprintf("%v is not allowed; %s", f.Value(), remedy(f))})
 	}
 	return problems
 }
 
+// namespacePath splits the validator's name of a field, such as
+// services[127.0.0.1:9].slots. Keys stand in brackets and may hold dots.
+func namespacePath(field string) (path Path) {
+	for field != "" {
+		var element string
+		if key, ok := strings.CutPrefix(field, "["); ok {
+			element, field, _ = strings.Cut(key, "]")
+		} else {
+			end := strings.IndexAny(field, ".[")
+			if end < 0 {
+				end = len(field)
+			}
+			element, field = field[:end], field[end:]
+		}
+		path, field = append(path, element), strings.TrimPrefix(field, ".")
+	}
+	return path
+}
+
 func remedy(f validator.FieldError) string {
 	switch f.Tag() {
 	case "min":
