--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -25,7 +25,8 @@
 	"uniao":    {"tunis", "sfax", "sousse"},
 }
 
-// Guards against examples that the check command of this version refuses.
+// Guards against examples that the check command of this version refuses, with
+// the PEM files that they name on each host made by the keys command.
 func TestSettings(t *testing.T) {
 	files, err := filepath.Glob("*/*.yaml")
 	assert.NilError(t, err)
@@ -42,8 +43,8 @@
 	testscript.Run(t, testscript.Params{
 		Files: []string{"testdata/check.txtar"},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"check": func(ts *testscript.TestScript, _ bool, _ []string) {
-				ts.Check(ts.Exec("vanillasail", append([]string{"check"}, checked...)...))
+			"check": func(ts *testscript.TestScript, _ bool, args []string) {
+				ts.Check(ts.Exec("vanillasail", append([]string{"check"}, append(args, checked...)...)...))
 			},
 		},
 	})
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -80,11 +80,17 @@
 }
 
 func readSettings(path string) (settings.Settings, error) {
+	s, _, err := readSettingsText(path)
+	return s, err
+}
+
+func readSettingsText(path string) (settings.Settings, []byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return settings.Settings{}, fmt.Errorf("settings file: %w; pass -settings FILE", err)
+		return settings.Settings{}, nil, fmt.Errorf("settings file: %w; pass -settings FILE", err)
 	}
-	return settings.Parse(text)
+	s, err := settings.Parse(text)
+	return s, text, err
 }
 
 func loadCredentials(credentials *node.Credentials, files settings.TLS) error {
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -26,6 +26,10 @@
 			_, err := netip.ParseAddrPort(s)
 			return err == nil
 		},
+		"loopback": func(s string) bool {
+			addr, err := netip.ParseAddrPort(s)
+			return err == nil && addr.Addr().Unmap().IsLoopback()
+		},
 	}
 	limits := map[string]func(value, limit time.Duration) bool{
 		"atleast": func(value, limit time.Duration) bool { return value >= limit },
@@ -48,6 +52,7 @@
 	"required": "set it",
 	"name":     "use 1 to 63 lower-case letters, digits, dots and hyphens",
 	"hostport": "write IP:port",
+	"loopback": "write a loopback address such as 127.0.0.1:7002; servers on other hosts must not announce themselves here",
 	"url":      "write a URL such as http://10.0.0.1:9000",
 	"min":      "use at least %s",
 	"max":      "use at most %s",
@@ -56,12 +61,24 @@
 	"oneof":    "use one of: %s",
 }
 
-// explain turns validation errors into lines with position, key, value and
-// remedy.
-func explain(err error, text []byte) string {
+// check returns a line with position, key, value and remedy for each setting
+// that breaks its own rule or one that it shares with others.
+func (s Settings) check(text []byte) []string {
+	lines := explain(newValidator().Struct(s), text)
+	if s.Store.Table == "" && len(s.Seeds) == 0 && !s.Node.First {
+		lines = append(lines, position(text, "node.first", "seeds", "store.table", "node.id")+
+			"node: there is neither store.table nor seeds nor node.first, so the node can never join; set one of them")
+	}
+	return lines
+}
+
+func explain(err error, text []byte) []string {
+	if err == nil {
+		return nil
+	}
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) {
-		return err.Error()
+		return []string{err.Error()}
 	}
 	lines := make([]string, 0, len(fields))
 	for _, f := range fields {
@@ -72,19 +89,21 @@
 		}
 		lines = append(lines, fmt.Sprintf("%s%s: %q is not allowed; %s", position(text, key), key, fmt.Sprint(f.Value()), remedy))
 	}
-	return strings.Join(lines, "\n")
+	return lines
 }
 
-// position returns "[line:column] " of a key, or nothing for a missing key.
-func position(text []byte, key string) string {
-	path, err := yaml.PathString("$." + key)
-	if err != nil {
-		return ""
-	}
-	found, err := path.ReadNode(bytes.NewReader(text))
-	if err != nil || found == nil {
-		return ""
+// position returns "[line:column] " of the first of the keys that is set, or
+// nothing when none is.
+func position(text []byte, keys ...string) string {
+	for _, key := range keys {
+		path, err := yaml.PathString("$." + key)
+		if err != nil {
+			continue
+		}
+		if found, err := path.ReadNode(bytes.NewReader(text)); err == nil && found != nil {
+			at := found.GetToken().Position
+			return fmt.Sprintf("[%d:%d] ", at.Line, at.Column)
+		}
 	}
-	at := found.GetToken().Position
-	return fmt.Sprintf("[%d:%d] ", at.Line, at.Column)
+	return ""
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -29,14 +30,14 @@
 	ID     string `yaml:"id" validate:"required,name" usage:"unique in the cluster; stays the same when the host is replaced"`
 	Region string `yaml:"region" validate:"required,name" usage:"region of the host"`
 	Domain string `yaml:"domain" validate:"required,name" usage:"failure domain of the host, unique in its region"`
-	First  bool   `yaml:"first" usage:"start a new cluster without waiting for the table or another node"`
+	First  bool   `yaml:"first" usage:"start a new cluster without waiting for the table or another node; needed without store.table and seeds"`
 }
 
 // Listen holds the addresses of a node.
 type Listen struct {
 	Caller    string `yaml:"caller" validate:"required,hostport" usage:"HTTP for callers"`
 	Peer      string `yaml:"peer" validate:"required,hostport" usage:"UDP for other nodes"`
-	Announce  string `yaml:"announce" validate:"required,hostport" usage:"HTTP for the backend server beside the node, on a loopback address"`
+	Announce  string `yaml:"announce" validate:"required,hostport,loopback" usage:"HTTP for the backend server beside the node, on a loopback address"`
 	Operator  string `yaml:"operator" validate:"required,hostport" usage:"HTTP for operators and for scraping metrics"`
 	Advertise string `yaml:"advertise" validate:"omitempty,hostport" usage:"peer address that other nodes use, when it differs from listen.peer"`
 }
@@ -97,8 +98,8 @@
 	if err := yaml.UnmarshalWithOptions(text, &s, yaml.Strict()); err != nil {
 		return Settings{}, invalid(yaml.FormatError(err, false, true))
 	}
-	if err := newValidator().Struct(s); err != nil {
-		return Settings{}, invalid(explain(err, text))
+	if lines := s.check(text); len(lines) > 0 {
+		return Settings{}, invalid(strings.Join(lines, "\n"))
 	}
 	return s, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-const valid = `node: {id: n1, region: poa, domain: a}
+const valid = `node: {id: n1, region: poa, domain: a, first: true}
 listen:
   caller: 127.0.0.1:8080
   peer: 127.0.0.1:7000
@@ -53,6 +53,36 @@
 	}
 }
 
+// Guards against settings with which a node starts and can never work: servers
+// of other hosts may announce themselves, or nothing names another node.
+func TestParseRefusesWhatCannotWork(t *testing.T) {
+	cases := map[string]struct{ old, new, want string }{
+		"open announce":     {"127.0.0.1:8081", "10.0.0.1:8081", `[5:13] listen.announce: "10.0.0.1:8081" is not allowed; write a loopback`},
+		"any address":       {"127.0.0.1:8081", "0.0.0.0:8081", "[5:13] listen.announce"},
+		"other loopback":    {"127.0.0.1:8081", `"[::1]:8081"`, ""},
+		"mapped loopback":   {"127.0.0.1:8081", `"[::ffff:127.0.0.1]:8081"`, ""},
+		"alone":             {", first: true", "", "[1:12] node: there is neither store.table nor seeds nor node.first"},
+		"not first":         {"first: true", "first: false", "[1:47] node: there is neither"},
+		"objects only":      {", first: true}", "}\nstore: {object: 'http://10.0.0.1:9'}", "[1:12] node: there is neither"},
+		"empty seeds":       {", first: true}", "}\nseeds: []", "[2:8] node: there is neither"},
+		"seeds, no store":   {", first: true}", "}\nseeds: ['10.0.0.2:7000']", ""},
+		"store, no seeds":   {", first: true}", "}\nstore: {table: 'http://10.0.0.1:9'}", ""},
+		"two such settings": {", first: true}\nlisten:\n  caller: 127.0.0.1", "}\nlisten:\n  caller: localhost", "[3:11] listen.caller"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(valid, tc.old, tc.new, 1)
+			assert.Assert(t, text != valid)
+			_, err := Parse([]byte(text))
+			if tc.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+}
+
 // Guards against a reference page that no longer matches the code.
 func TestReferenceIsCurrent(t *testing.T) {
 	page, err := os.ReadFile("../../docs/settings.md")
