--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -32,68 +32,104 @@
 	return v
 }
 
+// problem is one field that breaks a rule, with the remedy in its text.
+type problem struct {
+	path Path
+	text string
+}
+
+func (p problem) String() string { return strings.Join(p.path, ".") + ": " + p.text }
+
 // Validate checks ranges and the relations between fields. Its error names
 // every wrong field and the remedy.
 func (d Document) Validate() error {
-	problems := fieldProblems(validate.Struct(d))
-	for name, s := range d.Services {
-		if byDefault, longest := s.Timeouts(); byDefault > longest {
-			problems = append(problems, fmt.Sprintf("services.%s.timeout.default: %v is over longest %v; lower it or raise longest", name, byDefault, longest))
-		}
+	var texts []string
+	for _, p := range d.problems() {
+		texts = append(texts, p.String())
 	}
-	problems = append(problems, d.Budgets.problems()...)
+	slices.Sort(texts)
+	return refused(texts, "; ")
+}
+
+// refused returns the error of a document with problems, or nil without any.
+func refused(problems []string, separator string) error {
 	if len(problems) == 0 {
 		return nil
 	}
-	slices.Sort(problems)
-	return fault.New(fault.KindBadRequest, "configuration: %s", strings.Join(problems, "; ")).
+	return fault.New(fault.KindBadRequest, "configuration: %s", strings.Join(problems, separator)).
 		WithRemedy("correct the named fields and submit again")
 }
 
-func (b Budgets) problems() (problems []string) {
-	single := map[string]*Budget{"budgets.server": b.Server, "budgets.link": b.Link, "budgets.total.server": b.Total.Server}
-	for field, v := range single {
-		if v != nil {
-			problems = append(problems, v.problems(field)...)
+func (d Document) problems() []problem {
+	problems := fieldProblems(validate.Struct(d))
+	for name, s := range d.Services {
+		if byDefault, longest := s.Timeouts(); byDefault > longest {
+			text := fmt.Sprintf("%v is over longest %v; lower it or raise longest", byDefault, longest)
+			problems = append(problems, problem{Path{"services", name, "timeout", "default"}, text})
 		}
 	}
-	problems = append(problems, b.Links.problems("budgets.links.")...)
-	return append(problems, b.Total.Links.problems("budgets.total.links.")...)
+	return append(problems, d.Budgets.problems()...)
 }
 
-func (l LinkBudgets) problems(prefix string) (problems []string) {
+func (b Budgets) problems() (problems []problem) {
+	problems = append(problems, b.Server.problems("budgets", "server")...)
+	problems = append(problems, b.Link.problems("budgets", "link")...)
+	problems = append(problems, b.Links.problems("budgets", "links")...)
+	problems = append(problems, b.Total.Server.problems("budgets", "total", "server")...)
+	return append(problems, b.Total.Links.problems("budgets", "total", "links")...)
+}
+
+func (l LinkBudgets) problems(prefix ...string) (problems []problem) {
 	for from, links := range l {
 		for to, v := range links {
-			field := prefix + from + "." + to
-			problems = append(problems, v.problems(field)...)
+			path := slices.Concat(prefix, Path{from, to})
+			problems = append(problems, v.problems(path...)...)
 			if from == to {
-				problems = append(problems, field+": a link joins two regions; name another region")
+				problems = append(problems, problem{path, "a link joins two regions; name another region"})
 			}
 		}
 	}
 	return problems
 }
 
-func (b Budget) problems(field string) []string {
-	if (b.Messages == 0) != (b.Bytes == 0) {
-		return []string{field + ": messages and bytes must both be zero or both be set"}
+func (b *Budget) problems(path ...string) []problem {
+	if b != nil && (b.Messages == 0) != (b.Bytes == 0) {
+		return []problem{{path, "messages and bytes must both be zero or both be set"}}
 	}
 	return nil
 }
 
-func fieldProblems(err error) (problems []string) {
+func fieldProblems(err error) (problems []problem) {
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) {
 		return nil
 	}
 	for _, f := range fields {
 		_, field, _ := strings.Cut(f.Namespace(), ".")
-		field = strings.NewReplacer("[", ".", "]", "").Replace(field)
-		problems = append(problems, fmt.Sprintf("%s: %v is not allowed; %s", field, f.Value(), remedy(f)))
+		problems = append(problems, problem{namespacePath(field), fmt.Sprintf("%v is not allowed; %s", f.Value(), remedy(f))})
 	}
 	return problems
 }
 
+// namespacePath splits the validator's name of a field, such as
+// services[127.0.0.1:9].slots. Keys stand in brackets and may hold dots.
+func namespacePath(field string) (path Path) {
+	for field != "" {
+		var element string
+		if key, ok := strings.CutPrefix(field, "["); ok {
+			element, field, _ = strings.Cut(key, "]")
+		} else {
+			end := strings.IndexAny(field, ".[")
+			if end < 0 {
+				end = len(field)
+			}
+			element, field = field[:end], field[end:]
+		}
+		path, field = append(path, element), strings.TrimPrefix(field, ".")
+	}
+	return path
+}
+
 func remedy(f validator.FieldError) string {
 	switch f.Tag() {
 	case "min":
