--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -115,21 +115,9 @@
 // send METHOD nN PATH [HEADER=VALUE]... sends one request through node N and
 // keeps the answer for await answer.
 func (w *world) send(args []string) error {
-	a, err := w.nodeOf(args[1])
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, args[0], "http://"+a.caller+args[2], nil)
-	if err != nil {
-		return err
-	}
-	for _, header := range args[3:] {
-		name, value, _ := strings.Cut(header, "=")
-		r.Header.Set(name, value)
-	}
-	response, err := w.client.Do(r)
+	response, err := w.open(ctx, args[0], args[1], args[2], nil, args[3:])
 	if err != nil {
 		return err
 	}
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -37,6 +37,7 @@
 	nodes   []nodeAddrs
 	store   string
 	slots   int
+	body    string
 	callers load.Load
 	running *runningLoad
 	client  http.Client
@@ -103,18 +104,20 @@
 }
 
 // cluster starts the store, and N nodes with a server each. Options: slots=N,
-// delay=DURATION, relays (each node is reached by the others through a relay).
+// delay=DURATION, body=SIZE (largest request body), relays (each node is reached
+// by the others through a relay).
 func (w *world) cluster(args []string) error {
 	size, err := strconv.Atoi(args[0])
 	if err != nil {
 		return err
 	}
-	options := map[string]string{"slots": "12", "delay": "2ms"}
+	options := map[string]string{"slots": "12", "delay": "2ms", "body": "8MB"}
 	for _, arg := range args[1:] {
 		key, value, _ := strings.Cut(arg, "=")
 		options[key] = value
 	}
 	_, relays := options["relays"]
+	w.body = options["body"]
 	if w.slots, err = strconv.Atoi(options["slots"]); err != nil {
 		return err
 	}
@@ -197,8 +200,9 @@
 store: {table: "http://%s", object: "http://%s", timeout: 1s}
 seeds: ["%s"]
 notice: 1s
+body: %s
 log: {level: debug}
-`, a.id, a.id, tokenSecret, w.store, w.store, seed)
+`, a.id, a.id, tokenSecret, w.store, w.store, seed, w.body)
 }
 
 const tokenSecret = "a token secret of the scenario cluster"
