Take the last byte of a header for the header, and accept large chunks

The parser tells the length at the carriage return of the last line end. When the network cut the header there, the line feed was taken for the first byte of the body; the body then lay in memory that the parser frees and uses again, so a server could get bytes of another request. A chunk over 64 KB was refused with 413, and smaller ones were when the read buffer and the kept part together passed 64 KB.

Ruled out: cuts at other places (every cut of three requests is tried), and a bare line feed as line end (the parser refuses it, so it and the framing agree on where a header ends).

Change: the declared length counts only once the header has ended. The parser's limit is now that of the body, since the framing bounds the header by itself. Input after the first error is ignored; it made a second answer.

Conclusion: a request body is its own whatever the network cuts.

--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -17,7 +17,11 @@
 	// head is the number of header bytes so far; matched counts how many bytes of
 	// headEnd the last ones are.
 	head, matched int
-	// left is how many bytes of a body of declared length are still to come.
+	// declared is the length that the header names. The parser tells it before
+	// the last byte of the header.
+	declared int
+	// left is how many bytes of a body of declared length are still to come; zero
+	// until the header has ended.
 	left int
 	body []byte
 	// completed and begun tell what the parser met since the last feed.
@@ -26,11 +30,14 @@
 	// raw is set when a request follows a chunked body without a pause. Where its
 	// header ends is then not known, and the parser gets everything.
 	raw bool
+	// failed is set by the first error; what follows is ignored, so that the
+	// answer to bad input is written once and not cut off.
+	failed bool
 }
 
 // feed passes data to the parser, bodies of declared length in one piece.
 func (f *framer) feed(parse func([]byte) error, data []byte) error {
-	for len(data) > 0 {
+	for len(data) > 0 && !f.failed {
 		n := len(data)
 		var err error
 		switch {
@@ -46,6 +53,7 @@
 			err = f.feedHead(parse, data[:n])
 		}
 		if err != nil {
+			f.failed = true
 			return err
 		}
 		data = data[n:]
@@ -81,6 +89,7 @@
 		return err
 	}
 	if f.matched == len(headEnd) {
+		f.left, f.declared = f.declared, 0
 		f.head, f.matched = 0, 0
 		f.chunked = !f.completed && f.left == 0
 	}
@@ -127,7 +136,7 @@
 func (f *framer) OnContentLength(parser *nbhttp.Parser, length int) {
 	f.Processor.OnContentLength(parser, length)
 	if !f.raw {
-		f.left = max(length, 0)
+		f.declared = max(length, 0)
 	}
 }
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -71,12 +71,13 @@
 	}
 	s.listener = listener
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name:            "http1",
-		Network:         "tcp",
-		Addrs:           []string{addr},
-		NPoller:         pollers,
-		MaxLoad:         maxConns,
-		ReadLimit:       maxHeader,
+		Name:    "http1",
+		Network: "tcp",
+		Addrs:   []string{addr},
+		NPoller: pollers,
+		MaxLoad: maxConns,
+		// framer bounds the header; the parser may keep a whole chunk of a body.
+		ReadLimit:       s.MaxBody + maxHeader,
 		ReadBufferSize:  readBuffer,
 		MaxHTTPBodySize: s.MaxBody,
 		KeepaliveTime:   keepAlive,
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -40,6 +40,7 @@
 		"valid":           {request: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", status: 200},
 		"chunked":         {request: "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", status: 200},
 		"large body":      {request: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99000\r\n\r\n" + strings.Repeat("x", 99_000), status: 200},
+		"large chunk":     {request: "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n182b8\r\n" + strings.Repeat("x", 99_000) + "\r\n0\r\n\r\n", status: 200},
 		"not HTTP":        {request: "\x16\x03\x01 hello\r\n\r\n", status: 400},
 		"bad method":      {request: "G@T / HTTP/1.1\r\nHost: a\r\n\r\n", status: 400},
 		"bad length":      {request: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n", status: 400},
