Follow the configuration while the store does not answer

Cause: one loop asked other nodes and the store in turn. With the store down each poll and each refresh of the member row waited for its timeout of 2 s, so a node could learn of an accepted version 4 s late. The time until a version is in force at 710 nodes had only been computed.

Ruled out: a shorter timeout of the store (a slow one would count as down); a poll less often (12 s is what 17 s leave with gossip failing).

Change: a loop for other nodes and one for the store. The keeper and the protocol were safe for both before. TestConfigIsInForceInTime spreads a version over 100 and 710 protocols under a fake clock with fetches of 50 ms.

Target: 17 s.

Not simulated: processor time, and a region cut off for longer than 17 s.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/node"
@@ -30,6 +31,8 @@
 	node    *node.Transport
 	// polled is when the table was last asked.
 	polled time.Time
+	// told is the last version that the log has.
+	told atomic.Uint64
 }
 
 func (c *configuration) controls(all map[string]node.ControlFunc) {
@@ -48,30 +51,43 @@
 	c.Keeper.First = c.Options.First
 }
 
-// follow learns what is newer; it does I/O and runs outside the tick.
-func (c *configuration) follow(ctx context.Context, now time.Time) {
-	before := c.Version()
+// learn fetches a newer version from the member that told of it.
+func (c *configuration) learn(ctx context.Context) {
+	version, from := c.members.protocol.Config()
+	if config.Version(version) > c.Version() {
+		if err := c.Learn(ctx, from.ID, config.Version(version)); err != nil {
+			c.Log.WithError(err).WithField("node", c.ID).WithField("from", from.ID).Warn("configuration not fetched")
+		}
+	}
+	c.adopted()
+}
+
+// poll asks the table. It may wait as long as the store's timeout, so learn
+// does not wait for it.
+func (c *configuration) poll(ctx context.Context, now time.Time) {
 	if !c.Ready() {
 		if err := c.Join(ctx); err != nil {
 			c.Log.WithError(err).WithField("node", c.ID).Debug("configuration not known yet")
 		}
 	}
-	if version, from := c.members.protocol.Config(); config.Version(version) > c.Version() {
-		if err := c.Learn(ctx, from.ID, config.Version(version)); err != nil {
-			c.Log.WithError(err).WithField("node", c.ID).WithField("from", from.ID).Warn("configuration not fetched")
-		}
-	}
 	if now.Sub(c.polled) >= pollInterval {
 		c.polled = now
 		if err := c.Poll(ctx); err != nil {
 			c.Log.WithError(err).WithField("node", c.ID).Debug("table not asked for a configuration")
 		}
 	}
-	if after := c.Version(); after != before {
-		c.Log.WithField("node", c.ID).WithField("version", uint64(after)).
-			WithField("change", c.Current().ID).Info("configuration in force")
+	c.adopted()
+}
+
+// adopted tells the other nodes of the version in force, and the log once.
+func (c *configuration) adopted() {
+	current := c.Current()
+	told := c.told.Load()
+	if told < uint64(current.Version) && c.told.CompareAndSwap(told, uint64(current.Version)) {
+		c.Log.WithField("node", c.ID).WithField("version", uint64(current.Version)).
+			WithField("change", current.ID).Info("configuration in force")
 	}
-	c.members.protocol.SetConfig(uint64(c.Version()))
+	c.members.protocol.SetConfig(uint64(current.Version))
 }
 
 // Idempotent implements caller.Rules.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -61,9 +61,10 @@
 		return err
 	}
 	n.shards.start(n.members.protocol.Own().Ref)
-	n.done.Add(2)
+	n.done.Add(3)
 	go n.tickLoop(ctx)
 	go n.followLoop(ctx)
+	go n.storeLoop(ctx)
 	n.Log.WithField("node", n.ID).WithField("caller", n.callers.Addr()).
 		WithField("peer", n.peers.Addr()).WithField("announce", n.announce.Addr()).Info("node started")
 	return nil
@@ -168,25 +169,40 @@
 	n.observed.history.Tick(now, uint64(n.config.Version()))
 }
 
-// followLoop does the slow work that talks to the store and to other nodes.
+// followLoop asks other nodes for what they know. It never waits for the store.
 func (n *Node) followLoop(ctx context.Context) {
-	defer n.done.Done()
+	joined := false
+	n.every(ctx, func(time.Time) {
+		if !joined && n.members.protocol.Table().Len() > 1 {
+			joined = true
+			n.far.crash.join(ctx)
+		}
+		n.config.learn(ctx)
+	})
+}
+
+// storeLoop does what needs the store, which may be slow or down for hours.
+func (n *Node) storeLoop(ctx context.Context) {
 	if err := n.members.announcer.Join(ctx, time.Now()); err != nil {
 		n.Log.WithError(err).WithField("node", n.ID).Warn("table not reached")
 	}
+	n.every(ctx, func(now time.Time) {
+		n.config.poll(ctx, now)
+		if err := n.members.announcer.Refresh(ctx, now); err != nil {
+			n.Log.WithError(err).WithField("node", n.ID).Debug("member row not refreshed")
+		}
+	})
+}
+
+// every calls a function at followInterval until ctx is done.
+func (n *Node) every(ctx context.Context, do func(now time.Time)) {
+	defer n.done.Done()
 	tick := time.NewTicker(followInterval)
 	defer tick.Stop()
-	for joined := false; ; {
+	for {
 		select {
 		case <-tick.C:
-			if !joined && n.members.protocol.Table().Len() > 1 {
-				joined = true
-				n.far.crash.join(ctx)
-			}
-			n.config.follow(ctx, time.Now())
-			if err := n.members.announcer.Refresh(ctx, time.Now()); err != nil {
-				n.Log.WithError(err).WithField("node", n.ID).Debug("member row not refreshed")
-			}
+			do(time.Now())
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/pkg/member/config_test.go
@@ -0,0 +1,97 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// inForce is the target: a version holds everywhere within it at 710 nodes.
+	inForce = 17 * time.Second
+	// followEvery is how often a node looks for a newer version, in ms. It does
+	// so while it waits for the store, which is down.
+	followEvery = 100
+	// fetchTime is a handshake, a request and an answer across regions, and
+	// fetchTimeout the time until an unanswered fetch is given up, in ms.
+	fetchTime    = 50
+	fetchTimeout = 1000
+)
+
+// follower fetches newer versions as a node does: one look at a time, from the
+// member that told of the version.
+type follower struct {
+	*host
+	// next is the time of the next look, in ms.
+	next int
+	// fetched is the version that the fetch under way brings, or zero.
+	fetched uint64
+}
+
+func (f *follower) tick(n *network) {
+	if f.frozen || n.ms < f.next {
+		return
+	}
+	f.next = n.ms + followEvery
+	if f.fetched != 0 {
+		f.SetConfig(f.fetched)
+		f.fetched = 0
+	}
+	if version, from := f.Config(); version > f.Own().Config {
+		f.fetch(n, version, n.byID(from.ID))
+	}
+}
+
+func (f *follower) fetch(n *network, version uint64, holder *host) {
+	if holder.frozen || n.cut(f.host, holder) || n.random.Float64() < n.loss {
+		f.next = n.ms + fetchTimeout
+		return
+	}
+	f.next, f.fetched = n.ms+fetchTime, version
+}
+
+// TestConfigIsInForceInTime guards against a version that reaches some nodes
+// late or never when the table that accepted it fails at the same moment.
+func TestConfigIsInForceInTime(t *testing.T) {
+	cases := map[string]struct {
+		loss   float64
+		frozen bool
+		cut    bool
+	}{
+		"store down": {},
+		"store down, a tenth of the packets lost":  {loss: 0.1},
+		"store down, a region cut off for 5 s":     {cut: true},
+		"store down, a tenth of the nodes stopped": {frozen: true},
+	}
+	for name, tc := range cases {
+		for _, size := range []int{100, 710} {
+			t.Run(fmt.Sprint(name, " ", size), func(t *testing.T) {
+				t.Parallel()
+				n := cluster(seed(t), size, 2)
+				n.loss = tc.loss
+				followers := make([]follower, len(n.hosts))
+				for i, h := range n.hosts {
+					followers[i] = follower{host: h}
+					h.frozen = tc.frozen && i%10 == 5
+				}
+				n.hosts[7].SetConfig(42)
+				healed := n.ms + 5000
+				if tc.cut {
+					n.cut = func(a, b *host) bool { return a.region != b.region && n.ms < healed }
+				}
+				took, ok := n.until(inForce, func() bool {
+					holding := true
+					for i := range followers {
+						followers[i].tick(n)
+						holding = holding && (followers[i].frozen || followers[i].Own().Config == 42)
+					}
+					return holding
+				})
+				assert.Assert(t, ok, "not in force everywhere after %v", took)
+				t.Logf("in force everywhere after %v", took)
+			})
+		}
+	}
+}
