Bound the lists of all messages between nodes where they are decoded

msgpack v5.4.1 allocates a slice of structs at the length that a message claims. Incidents at a join, records of a transfer, decisions with their candidates, and the three lists of a measure reply were decoded that way; an http.Header made room for a million names and values.

pkg/wire.List holds the bound that stood in pkg/member and pkg/quarantine and is used by all of them: it refuses a length over the limit of the list, and grows by one element at a time. wire.BoundHeaders registers a decoder for http.Header. The limits are those of the senders (256 incidents, 64 decisions, 256 histograms, ...); Transfer.Next now stops at 4,096 records, which 256 KB never reach. The row of a shard map comes from the table and is bounded as well.

The new fuzz target found two more faults of the library, both older than this change. The buffer of a pooled decoder grows with each message that claims a text longer than it (20 MB after some dozen messages of 5 bytes), and a nil in place of a time panics, so that one reply to explain could end the process. wire.Unmarshal drops the decoder after an error and turns a panic into an error.

TestWindowsHoldOneVersionEach compares the same values under the new types.

Seen failing in TestClaimedLengthsAreBounded without the bound of the list: incidents 134 MB allocated for 5 bytes, decisions 419 MB, counts of refusals 151 MB, shards 185 MB, header names 101 MB, records and candidates over the 4 MB; without the limit, the lists are missing from those refused. Without the dropped decoder TestClaimedTextsDoNotAddUp "6325944 bytes"; without the recover TestNilTimeIsAnError panics.

Measured: FuzzClaimedLengths 193,142 inputs in 45 s, no failure.

--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // Header names that callers and backend servers see.
@@ -24,6 +26,8 @@
 	HeaderOutcome   = "Outcome"
 )
 
+func init() { wire.BoundHeaders() }
+
 // MaxHops bounds a chain of calls; calls are up to 10 deep, so a longer chain
 // is a loop.
 const MaxHops = 16
--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -13,6 +13,7 @@
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 const (
@@ -48,7 +49,7 @@
 func (c *crashWatch) controls(all map[string]node.ControlFunc) {
 	all[kindIncident] = func(_ context.Context, from string, body []byte) ([]byte, error) {
 		var i quarantine.Incident
-		if err := msgpack.Unmarshal(body, &i); err != nil || !i.Valid() {
+		if err := wire.Unmarshal(body, &i); err != nil || !i.Valid() {
 			return nil, fault.New(fault.KindBadRequest, "incident from node %s is not valid", from)
 		}
 		c.table.Merge(i, time.Now())
@@ -56,7 +57,7 @@
 	}
 	all[kindRelease] = func(_ context.Context, from string, body []byte) ([]byte, error) {
 		var r quarantine.Release
-		if err := msgpack.Unmarshal(body, &r); err != nil {
+		if err := wire.Unmarshal(body, &r); err != nil {
 			return nil, fault.New(fault.KindBadRequest, "release from node %s is not valid", from)
 		}
 		c.table.Release(r, time.Now())
@@ -203,8 +204,8 @@
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		reply, err := c.node.Control(ctx, peerOf(m), kindIncidents, nil)
 		cancel()
-		var known []quarantine.Incident
-		if err != nil || msgpack.Unmarshal(reply, &known) != nil {
+		var known quarantine.Incidents
+		if err != nil || wire.Unmarshal(reply, &known) != nil {
 			continue
 		}
 		for _, i := range known {
--- a/internal/daemon/measuring.go
+++ b/internal/daemon/measuring.go
@@ -11,6 +11,7 @@
 	"github.com/vanillasail/vanillasail/pkg/budget"
 	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/routing"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 const (
@@ -125,7 +126,7 @@
 	sent := time.Now()
 	reply, err := m.node.Control(ctx, peer, kindLoad, nil)
 	var load call.Load
-	if err != nil || msgpack.Unmarshal(reply, &load) != nil {
+	if err != nil || wire.Unmarshal(reply, &load) != nil {
 		return
 	}
 	now := time.Now()
--- a/internal/evidence/explain.go
+++ b/internal/evidence/explain.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/operator"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // KindExplain is the control message that asks for the decisions about one
@@ -18,6 +19,15 @@
 // ID that callers reuse must not return the whole ring.
 const maxExplained = 64
 
+// Explained are the decisions of one node about a request.
+type Explained []operator.Decision
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Explained) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[operator.Decision](d, maxExplained, "decisions")
+	return err
+}
+
 // Decisions reads the ring of this node and those of others. It implements
 // operator.Decisions.
 type Decisions struct {
@@ -38,8 +48,8 @@
 func (x *Decisions) Explain(ctx context.Context, request string) ([]operator.Decision, []string, error) {
 	found := x.own(request)
 	silent := collect(ctx, x.Nodes, KindExplain, []byte(request), func(_ string, reply []byte) error {
-		var theirs []operator.Decision
-		if err := msgpack.Unmarshal(reply, &theirs); err != nil {
+		var theirs Explained
+		if err := wire.Unmarshal(reply, &theirs); err != nil {
 			return err
 		}
 		found = append(found, theirs...)
--- a/internal/evidence/measure.go
+++ b/internal/evidence/measure.go
@@ -12,6 +12,7 @@
 	"github.com/vanillasail/vanillasail/internal/operator"
 	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // KindMeasure is the control message that asks for the windows around a
@@ -38,7 +39,7 @@
 	add(r.History.Around(time.Now(), uint64(v)))
 	silent = collect(ctx, r.Nodes, KindMeasure, strconv.AppendUint(nil, uint64(v), 10), func(_ string, reply []byte) error {
 		var w metrics.Windows
-		err := msgpack.Unmarshal(reply, &w)
+		err := wire.Unmarshal(reply, &w)
 		if err == nil {
 			add(w)
 		}
--- a/internal/gossip/announcer.go
+++ b/internal/gossip/announcer.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/pkg/member"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 const (
@@ -135,7 +136,7 @@
 	var newest int64
 	for _, v := range values {
 		var r row
-		if msgpack.Unmarshal(v, &r) != nil || r.ID == "" {
+		if wire.Unmarshal(v, &r) != nil || r.ID == "" {
 			continue
 		}
 		newest = max(newest, r.Time)
--- a/internal/metrics/figures.go
+++ b/internal/metrics/figures.go
@@ -4,13 +4,51 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // Figures are what was counted in one span of time.
 type Figures struct {
-	Latency  []Latency   `msgpack:"l"`
-	Refusals []Refusal   `msgpack:"r"`
-	Links    []LinkBytes `msgpack:"n"`
+	Latency  Latencies `msgpack:"l"`
+	Refusals Refusals  `msgpack:"r"`
+	Links    Links     `msgpack:"n"`
+}
+
+const (
+	// maxRefusals is above what a Sum holds: maxSummed labels with a kind, and
+	// all kinds of the label other.
+	maxRefusals = 2 * maxSummed
+	// maxLinkBytes is enough for 64 regions.
+	maxLinkBytes = 64 * 64
+)
+
+// Latencies are the histograms of a span.
+type Latencies []Latency
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Latencies) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[Latency](d, maxSummed, "histograms")
+	return err
+}
+
+// Refusals are the counts of refused requests of a span.
+type Refusals []Refusal
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Refusals) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[Refusal](d, maxRefusals, "counts of refusals")
+	return err
+}
+
+// Links are the bytes between regions in a span.
+type Links []LinkBytes
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Links) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[LinkBytes](d, maxLinkBytes, "links")
+	return err
 }
 
 // Latency is one packed histogram.
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -168,8 +168,8 @@
 		histogram := sum.Histograms()[Label{"stock", "lookup", "geada"}]
 		assert.Equal(t, histogram.TotalCount(), want.requests)
 		assert.Assert(t, histogram.ValueAtQuantile(99) < (want.latency+1)*1000)
-		assert.DeepEqual(t, window.Refusals, []Refusal{{Label{"stock", "lookup", "geada"}, "overloaded", want.requests}})
-		assert.DeepEqual(t, window.Links, []LinkBytes{{"poa", "cwb", want.bytes}})
+		assert.DeepEqual(t, window.Refusals, Refusals{{Label{"stock", "lookup", "geada"}, "overloaded", want.requests}})
+		assert.DeepEqual(t, window.Links, Links{{"poa", "cwb", want.bytes}})
 	}
 	assert.Equal(t, h.Around(now, 6).After.From <= kept+interval+12*time.Second, true)
 	assert.Assert(t, h.Around(now, 20).After == nil)
--- a/internal/node/answer_body.go
+++ b/internal/node/answer_body.go
@@ -6,9 +6,9 @@
 	"sync"
 
 	"github.com/quic-go/quic-go"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // answerBody reads the data frames of one answer. It returns io.EOF only after
@@ -79,7 +79,7 @@
 		return b.cut(err)
 	}
 	var f fault.Error
-	if err := msgpack.Unmarshal(payload, &f); err != nil {
+	if err := wire.Unmarshal(payload, &f); err != nil {
 		return b.cut(err)
 	}
 	return b.cut(&f)
--- a/internal/node/frame.go
+++ b/internal/node/frame.go
@@ -10,6 +10,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // Frame types on a stream between nodes.
@@ -108,5 +109,5 @@
 	if _, err := io.ReadFull(r, payload); err != nil {
 		return err
 	}
-	return eris.Wrap(msgpack.Unmarshal(payload, head), "decode frame head")
+	return eris.Wrap(wire.Unmarshal(payload, head), "decode frame head")
 }
--- a/internal/operator/parts.go
+++ b/internal/operator/parts.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/vanillasail/vanillasail/internal/object"
 	"github.com/vanillasail/vanillasail/pkg/config"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // Config holds and changes the configuration; *config.Keeper implements it.
@@ -57,7 +60,20 @@
 	Time                                  time.Time
 	Action, Chosen, Reason, Outcome       string
 	Latency                               time.Duration
-	Considered                            []Candidate
+	Considered                            Candidates
+}
+
+// maxCandidates is above the servers that a decision compares, for newer nodes
+// that compare more.
+const maxCandidates = 16
+
+// Candidates are the servers that a decision considered.
+type Candidates []Candidate
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Candidates) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[Candidate](d, maxCandidates, "candidates")
+	return err
 }
 
 // Decisions reads the ring buffers of decisions.
--- a/internal/owner/answer.go
+++ b/internal/owner/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 const (
@@ -47,7 +48,7 @@
 // replay returns the kept first answer to a resent request.
 func replay(b []byte, r call.Request) (*call.Answer, error) {
 	var k keptAnswer
-	if err := msgpack.Unmarshal(b, &k); err != nil {
+	if err := wire.Unmarshal(b, &k); err != nil {
 		return nil, fault.New(fault.KindFinished, "key %q has run; its kept answer cannot be read: %v", r.Key, err)
 	}
 	return &call.Answer{
--- a/internal/owner/message.go
+++ b/internal/owner/message.go
@@ -5,6 +5,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/pkg/once"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // Kinds of control messages.
@@ -37,6 +38,6 @@
 
 func decode[T any](b []byte) (T, error) {
 	var v T
-	err := msgpack.Unmarshal(b, &v)
+	err := wire.Unmarshal(b, &v)
 	return v, eris.Wrap(err, "decode control message; both nodes must run compatible versions")
 }
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -6,6 +6,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // Kind names the purpose of a message.
@@ -65,26 +67,13 @@
 	Millis uint32 `msgpack:"a"`
 }
 
-// list grows by one element at a time. The msgpack library allocates a slice of
-// structs at once for any claimed length, so that 8 bytes could claim hundreds
-// of gigabytes.
+// list has at most one element for each byte of a message.
 type list[T any] []T
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
-func (l *list[T]) DecodeMsgpack(d *msgpack.Decoder) error {
-	n, err := d.DecodeArrayLen()
-	if err != nil {
-		return err
-	}
-	*l = nil
-	for range n {
-		var element T
-		if err := d.Decode(&element); err != nil {
-			return err
-		}
-		*l = append(*l, element)
-	}
-	return nil
+func (l *list[T]) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[T](d, MaxPayload, "elements")
+	return err
 }
 
 // Encode returns the message in wire form.
@@ -106,7 +95,7 @@
 		return nil, eris.Errorf("message has %d bytes, at most %d are allowed", len(payload), MaxPayload)
 	}
 	m := new(Message)
-	if err := msgpack.Unmarshal(payload, m); err != nil {
+	if err := wire.Unmarshal(payload, m); err != nil {
 		return nil, eris.Wrap(err, "decode membership message")
 	}
 	if m.Kind >= kindEnd || m.From == "" {
--- a/pkg/once/map.go
+++ b/pkg/once/map.go
@@ -6,6 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // Shards is the number of shards of a service.
@@ -22,8 +24,16 @@
 }
 
 type mapRow struct {
-	Format int     `msgpack:"f"`
-	Shards []Shard `msgpack:"s"`
+	Format int       `msgpack:"f"`
+	Shards rowShards `msgpack:"s"`
+}
+
+type rowShards []Shard
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *rowShards) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[Shard](d, Shards, "shards")
+	return err
 }
 
 // Row returns the key of the table row that holds the map of a service.
@@ -68,7 +78,7 @@
 // DecodeMap parses the content of a table row.
 func DecodeMap(service string, b []byte) (Map, error) {
 	var row mapRow
-	if err := msgpack.Unmarshal(b, &row); err != nil {
+	if err := wire.Unmarshal(b, &row); err != nil {
 		return Map{}, eris.Wrapf(err, "table row %s is not a shard map; restore it from the table's backup", Row(service))
 	}
 	if row.Format != mapFormat || len(row.Shards) != Shards {
--- a/pkg/once/transfer.go
+++ b/pkg/once/transfer.go
@@ -3,8 +3,16 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
+// maxChunk bounds the records of a chunk: Next counts at least 64 bytes for
+// each, and chunks have 256 KB.
+const maxChunk = 4096
+
 // Transfer sends every record of a shard to its new backup, chunk by chunk.
 // The owner accepts no new key of the shard meanwhile.
 type Transfer struct {
@@ -25,7 +33,16 @@
 	Last bool   `msgpack:"l,omitempty"`
 	// Blind is the rest of the time in which absent keys may have run.
 	Blind   time.Duration `msgpack:"b,omitempty"`
-	Records []Record      `msgpack:"r,omitempty"`
+	Records Records       `msgpack:"r,omitempty"`
+}
+
+// Records are those of one chunk.
+type Records []Record
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Records) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[Record](d, maxChunk, "records")
+	return err
 }
 
 // Transfer starts to copy a shard. It returns nil when the shard has changed
@@ -60,7 +77,7 @@
 	if st.Shard != t.shard {
 		return Chunk{}, false
 	}
-	for size := 0; len(t.keys) > 0 && size < limit; t.keys = t.keys[1:] {
+	for size := 0; len(t.keys) > 0 && size < limit && len(c.Records) < maxChunk; t.keys = t.keys[1:] {
 		r := st.records[t.keys[0]]
 		if r == nil || st.expired(r, at) {
 			continue
--- a/pkg/quarantine/incident.go
+++ b/pkg/quarantine/incident.go
@@ -6,8 +6,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // Fingerprint is a hash of a request's service, method, URI and body.
@@ -40,26 +41,19 @@
 // Prints are fingerprints on the wire.
 type Prints []Fingerprint
 
-// DecodeMsgpack implements msgpack.CustomDecoder. The library allocates a slice
-// at the length that the message claims before it reads an element; a message
-// of 22 bytes can claim 808 million.
-func (p *Prints) DecodeMsgpack(d *msgpack.Decoder) error {
-	n, err := d.DecodeArrayLen()
-	if err != nil {
-		return err
-	}
-	if n > MaxPrints {
-		return eris.Errorf("%d fingerprints are over the limit of %d", n, MaxPrints)
-	}
-	*p = make(Prints, max(n, 0))
-	for i := range *p {
-		f, err := d.DecodeUint64()
-		if err != nil {
-			return err
-		}
-		(*p)[i] = Fingerprint(f)
-	}
-	return nil
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (p *Prints) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*p, err = wire.List[Fingerprint](d, MaxPrints, "fingerprints")
+	return err
+}
+
+// Incidents are what a node tells one that joins.
+type Incidents []Incident
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *Incidents) DecodeMsgpack(d *msgpack.Decoder) (err error) {
+	*l, err = wire.List[Incident](d, maxIncidents, "incidents")
+	return err
 }
 
 // WithAge returns a copy with another age.
