Try a slow server again after 500 requests

Cause: each failed trial of an ejected server doubles its time out, so a server that was slow for two seconds stayed out for up to 1.6 s after it was fast again. More loads over the region links (8 and 6 bytes for a load instead of 12, trials) did not help.

Change: a server ejected as slow is due for a trial after 500 requests that could have been one, if that is sooner than its time out. Trials then cost at most one request in 500 for each slow server, at any rate of requests. Failing servers keep their time out.

TestGoalHalfBudgetMissed has no case left.

TestTrialAfterManyRequests with the count of requests ignored: "assertion failed: false (bool) != true (c.want bool)".

--- a/internal/experiment/goal_test.go
+++ b/internal/experiment/goal_test.go
@@ -23,8 +23,8 @@
 )
 
 var (
-	missedOracle = names("geada/domain-lost/0.85", "geada/slow-2s/0.85",
-		"union/slow-250ms/0.5", "union/slow-250ms/0.7", "union/slow-250ms/0.85", "union/slow-2s/0.85")
+	missedOracle = names("geada/domain-lost/0.85",
+		"union/slow-250ms/0.5", "union/slow-250ms/0.7", "union/slow-250ms/0.85")
 	missedLeast = names("geada/burst/0.85", "geada/domain-lost/0.85", "union/burst/0.85", "union/domain-lost/0.85")
 	missedHedge = names("geada/burst/0.5", "geada/lying/0.5", "geada/slow-250ms/0.5", "geada/ten-times/0.5",
 		"union/burst/0.5", "union/lying/0.5", "union/slow-250ms/0.5",
@@ -34,7 +34,7 @@
 		"geada/slow-2s/0.85", "geada/ten-times/0.85", "union/burst/0.85", "union/crash/0.85",
 		"union/domain-lost/0.85", "union/fail-fast/0.85", "union/lying/0.85", "union/slow-250ms/0.85",
 		"union/slow-2s/0.85", "union/ten-times/0.85")
-	missedHalf = names("union/slow-2s/0.85")
+	missedHalf = names()
 )
 
 func names(list ...string) map[string]bool {
@@ -66,7 +66,7 @@
 				}
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
-					for seed := uint64(1); seed == 1 || in && seed <= 3; seed++ {
+					for seed := uint64(1); seed == 1 || (in || c.Name == "slow-2s") && seed <= 3; seed++ {
 						check(t, Options{Deployment: d, Case: c, Load: load, Policy: "routing", Seed: seed, Length: length(c, in)})
 					}
 				})
@@ -76,12 +76,15 @@
 }
 
 // length is shorter for the cases that are checked on every run, so that all
-// of them fit into a minute with the race detector.
+// of them fit into a minute with the race detector. The second slow server of
+// slow-2s comes after 3 s only.
 func length(c Case, missed bool) time.Duration {
 	switch {
+	case c.Name == "slow-2s":
+		return 5 * time.Second
 	case !missed, c.Name == "crash":
 		return 2500 * time.Millisecond
-	case c.Name == "slow-2s", c.Name == "domain-lost":
+	case c.Name == "domain-lost":
 		return 5 * time.Second
 	default:
 		return 3 * time.Second
@@ -137,7 +140,7 @@
 func TestGoalOracleLowerLoad(t *testing.T) {
 	eachCase(t, []float64{0.7}, missedOracle, false, func(t *testing.T, o Options) {
 		t.Helper()
-		if missedOracle[o.Deployment.Name+"/"+o.Case.Name+"/0.85"] {
+		if o.Case.Name == "slow-2s" || missedOracle[o.Deployment.Name+"/"+o.Case.Name+"/0.85"] {
 			checkOracle(t, o)
 		}
 	})
--- a/pkg/outlier/config.go
+++ b/pkg/outlier/config.go
@@ -26,6 +26,10 @@
 	// Base is the time out after the first ejection. It doubles with each
 	// failed trial up to Max. The defaults are 100 ms and 5 s.
 	Base, Max time.Duration
+	// Requests is the number of requests after which a server that was ejected
+	// as slow is tried before its time is over, so that trials cost a bounded
+	// share of the requests at any rate; the default is 500.
+	Requests int
 	// Trials is the number of good trial requests that end an ejection; the
 	// default is 2.
 	Trials int
@@ -37,6 +41,7 @@
 	setFloat(&c.Slow, 3)
 	setInt(&c.Failures, 3)
 	setInt(&c.SlowAnswers, 3)
+	setInt(&c.Requests, 500)
 	setInt(&c.Trials, 2)
 	setDuration(&c.Base, 100*time.Millisecond)
 	setDuration(&c.Max, 5*time.Second)
--- a/pkg/outlier/group.go
+++ b/pkg/outlier/group.go
@@ -61,12 +61,18 @@
 	return (r.failures >= g.Failures || often) && g.eject(r, CauseFailures, now)
 }
 
-// TrialDue reports whether a trial request may be sent now.
+// TrialDue reports whether a trial request may be sent now. It is asked for
+// each request that could be the trial; after Requests of them a slow server
+// is tried again before its time is over.
 func (g *Group) TrialDue(r *Record, now time.Time) bool {
+	g.prepare()
+	r.asked++
+	if r.state == Ejected && r.cause == CauseSlow && r.asked >= g.Requests {
+		r.until = now
+	}
 	if r.State(now) != Trial {
 		return false
 	}
-	g.prepare()
 	return r.tried.IsZero() || now.Sub(r.tried) > g.Max
 }
 
@@ -128,6 +134,7 @@
 	r.out = min(max(2*r.out, g.Base), g.Max)
 	r.state, r.cause = Ejected, cause
 	r.until = now.Add(r.out)
+	r.asked = 0
 	r.tried = time.Time{}
 }
 
--- a/pkg/outlier/group_test.go
+++ b/pkg/outlier/group_test.go
@@ -96,3 +96,25 @@
 	trial(".", outlier.Serving)
 	assert.Equal(t, g.Out(), 0)
 }
+
+// Guards against a server that is fast again and waits out a time that failed
+// trials doubled, although many requests could have tried it, and against
+// trials of a failing server beyond that time.
+func TestTrialAfterManyRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcomes string
+		want     bool
+	}{
+		"slow": {"sss", true}, "failing": {"fff", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := outlier.Group{Size: 10, Config: outlier.Config{Base: time.Hour, Max: time.Hour}}
+			var r outlier.Record
+			run(&g, &r, c.outcomes, start)
+			for range 499 {
+				assert.Assert(t, !g.TrialDue(&r, start))
+			}
+			assert.Equal(t, g.TrialDue(&r, start), c.want)
+		})
+	}
+}
--- a/pkg/outlier/record.go
+++ b/pkg/outlier/record.go
@@ -64,6 +64,8 @@
 	until time.Time
 	// out is the length of the last ejection; zero after a good period.
 	out time.Duration
+	// asked counts requests that could have been a trial since the ejection.
+	asked int
 	// passed counts good trials of this ejection.
 	passed int
 	// tried is the start of the running trial; zero when none runs.
