Bound the connections that a node accepts and those that routing uses

A node that calls five services or more needed 31 links for each, over the cap of 128, so that calls paid for handshakes; accepted links had no bound and could reach 709, 34 MB.

Routing shares Config.Total places, 96, between the services that had a request in the last minute: 48 servers for one service, 24 for each of four, 9 for each of ten, 4 for each of 23. Rendezvous hashing keeps the closest ranked servers, so a smaller share is a part of the larger one.

Transport keeps at most 128 accepted connections. For a new one it closes the least recently used one that has had no request in flight for a second, because its last answer may still be on the way. If there is none, the new connection is closed with a code of its own before a stream is served, so that the caller's side may report the request as refused.

Seen failing: without the bound "129 connections"; without the check of requests in flight "Application error 0x1 (remote): evicted ... the request in flight was cut off"; without the code "unknown != refused"; with Config.Subset alone "310 servers had requests" (ten services) and "713" (all); with services in use for ever "9 != 31".

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -128,6 +128,10 @@
 	if errors.As(err, &typed) {
 		return typed
 	}
+	var closed *quic.ApplicationError
+	if errors.As(err, &closed) && closed.Remote && closed.ErrorCode == codeFull {
+		return fault.New(fault.KindUnreachable, "all connections of node %s are in use", peer.ID).WithOutcome(fault.Refused)
+	}
 	if ctx.Err() != nil {
 		return fault.New(fault.KindDeadline, "node %s did not answer before the deadline", peer.ID)
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -33,35 +33,27 @@
 }
 
 func (t *Transport) acceptStreams(conn *quic.Conn) {
-	t.adopt(conn)
+	if !t.adopt(conn, time.Now()) {
+		_ = conn.CloseWithError(codeFull, "too many connections")
+		return
+	}
 	defer t.forget(conn)
 	for {
 		stream, err := conn.AcceptStream(context.Background())
 		if err != nil {
 			return
 		}
-		if !t.enter() {
+		if !t.enter(conn) {
 			refuse(stream, fault.New(fault.KindStopped, "node %s is stopping", t.ID))
 			continue
 		}
 		go func() {
-			defer t.streams.Done()
+			defer t.leave(conn)
 			t.serve(stream)
 		}()
 	}
 }
 
-// enter counts a stream as in flight unless Close has begun to wait for them.
-func (t *Transport) enter() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.closed {
-		return false
-	}
-	t.streams.Add(1)
-	return true
-}
-
 func (t *Transport) serve(stream *quic.Stream) {
 	reader := bufio.NewReaderSize(stream, readBufferSize)
 	var head requestHead
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -38,6 +38,8 @@
 	codeIdle     quic.ApplicationErrorCode = 1
 	codeSilent   quic.ApplicationErrorCode = 2
 	codeStopped  quic.ApplicationErrorCode = 3
+	// codeFull closes a connection from which no stream was served.
+	codeFull quic.ApplicationErrorCode = 4
 )
 
 // ControlFunc answers a control message from another node.
@@ -62,8 +64,8 @@
 	streams  sync.WaitGroup
 
 	mu sync.Mutex
-	// accepted holds the open connections of other nodes.
-	accepted map[*quic.Conn]struct{}
+	// accepted holds the open connections of other nodes, at most maxAccepted.
+	accepted map[*quic.Conn]*accepted
 	// links has at most maxLinks entries; the key is the peer's ID.
 	links  map[string]*link
 	closed bool
@@ -248,19 +250,3 @@
 		_ = conn.CloseWithError(codeStopped, "node stopped")
 	}
 }
-
-// adopt keeps an accepted connection until it ends.
-func (t *Transport) adopt(conn *quic.Conn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.accepted == nil {
-		t.accepted = make(map[*quic.Conn]struct{})
-	}
-	t.accepted[conn] = struct{}{}
-}
-
-func (t *Transport) forget(conn *quic.Conn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.accepted, conn)
-}
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -24,6 +24,10 @@
 	// Subset is the largest number of servers used for each service; the
 	// default is 48.
 	Subset int
+	// Total is the largest number of servers used over all services that had a
+	// request in the last minute, which share it evenly; the default is 96. It
+	// bounds the connections to other nodes.
+	Total int
 	// Probe is the age of the newest load from which a server that is used is
 	// probed; the default is 1 s.
 	Probe time.Duration
@@ -48,9 +52,20 @@
 	if c.Subset <= 0 {
 		c.Subset = 48
 	}
+	if c.Total <= 0 {
+		c.Total = 96
+	}
 	return c
 }
 
+// leastSubset keeps a choice between servers when many services are in use.
+const leastSubset = 4
+
+// share returns the number of servers used for each of n services in use.
+func (c *Config) share(n int) int {
+	return min(c.Subset, max(c.Total/max(n, 1), leastSubset))
+}
+
 // roundTrip returns the link's share of a request's latency.
 func (c *Config) roundTrip(s *Server) (time.Duration, locality) {
 	switch {
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -20,7 +20,7 @@
 		return c, false
 	}
 	at := t.prepare(now)
-	p.at = at
+	p.at, p.used = at, at
 	p.seen = p.seen[:0]
 	p.rebuild()
 	e := p.trial(&r, now, at)
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -20,6 +20,10 @@
 	active []*entry
 	ends   [localities]int
 	dirty  bool
+	// size bounds active; zero means Config.Subset.
+	size int
+	// used is the instant of the last request; negative before the first.
+	used time.Duration
 	// mean is the mean load of each locality as a share of the slots, median
 	// the median run time in nanoseconds. Regions are overloaded separately,
 	// so one mean for all would hide free servers elsewhere.
@@ -41,7 +45,7 @@
 
 func newPool(c *Config, at time.Duration) *pool {
 	return &pool{
-		config: c, created: at, at: at,
+		config: c, created: at, at: at, used: -1,
 		byID:   map[string]*entry{},
 		median: float64(c.Service),
 		group:  outlier.Group{Config: c.Outlier},
@@ -87,7 +91,11 @@
 		return
 	}
 	p.dirty = false
-	p.active = subset(p.entries, p.config.Node, p.config.Subset, p.active[:0])
+	size := p.size
+	if size == 0 {
+		size = p.config.Subset
+	}
+	p.active = subset(p.entries, p.config.Node, size, p.active[:0])
 	for _, e := range p.entries {
 		e.subset = false
 	}
@@ -101,6 +109,20 @@
 	p.group.Size = len(p.active)
 }
 
+// usedFor is the time after a request in which a service counts as in use. A
+// connection to another node closes 30 s after its last request.
+const usedFor = time.Minute
+
+// inUse reports whether the service had a request lately.
+func (p *pool) inUse(at time.Duration) bool { return p.used >= 0 && at-p.used < usedFor }
+
+// resize bounds the subset.
+func (p *pool) resize(size int) {
+	if size != p.size {
+		p.size, p.dirty = size, true
+	}
+}
+
 // tick refreshes mean and median and lets old latencies decay.
 func (p *pool) tick(at time.Duration) {
 	p.at = at
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -77,11 +77,31 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	at := t.prepare(now)
+	t.divide(at)
 	for _, p := range t.pools {
 		p.tick(at)
 	}
 }
 
+// divide shares the places for servers between the services in use. A service
+// that is not in use takes its share with its first request, until the next
+// tick beside those of the others.
+func (t *Table) divide(at time.Duration) {
+	n := 0
+	for _, p := range t.pools {
+		if p.inUse(at) {
+			n++
+		}
+	}
+	for _, p := range t.pools {
+		if p.inUse(at) {
+			p.resize(t.share(n))
+		} else {
+			p.resize(t.share(n + 1))
+		}
+	}
+}
+
 // Snapshot returns the state of a service's servers as of the last call that
 // told the time, sorted by ID.
 func (t *Table) Snapshot(service string) []ServerState {
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -140,6 +140,53 @@
 	assert.DeepEqual(t, domains, map[string]int{"a1": 24, "a2": 12, "b1": 12})
 }
 
+// Guards against more servers in use than a node may have connections to, and
+// against services that go without servers or keep a place after their use.
+func TestServicesShareTheConnections(t *testing.T) {
+	const connections = 128 // the cap of internal/node
+	cases := map[string]struct{ called, least int }{
+		"one service": {1, 31}, "four": {4, 24}, "ten": {10, 9}, "all": {23, 4},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &routing.Table{Config: routing.Config{Node: "n", Region: "a", Domain: "a1"}}
+			for i := range 23 * 31 {
+				table.Upsert(routing.Server{
+					ID: fmt.Sprint("s", i), Service: fmt.Sprint("service", i%23), Slots: 12,
+					Region: []string{"a", "b"}[i%2], Domain: fmt.Sprint("d", i%4),
+				}, start)
+			}
+			now, used := start, map[string]bool{}
+			for i := range 4000 {
+				if now = now.Add(ms); i%10 == 0 {
+					table.Tick(now)
+				}
+				c, ok := table.Pick(routing.Request{Service: fmt.Sprint("service", i%tc.called)}, now)
+				assert.Assert(t, ok)
+				used[c.ID] = true
+			}
+			for i := range tc.called {
+				n := 0
+				for _, s := range table.Snapshot(fmt.Sprint("service", i)) {
+					if s.Subset {
+						n++
+					}
+				}
+				assert.Assert(t, n >= tc.least, "%d servers of service %d", n, i)
+			}
+			assert.Assert(t, len(used) <= connections, "%d servers had requests", len(used))
+			table.Tick(now.Add(2 * time.Minute))
+			n := 0
+			for _, s := range table.Snapshot("service0") {
+				if s.Subset {
+					n++
+				}
+			}
+			assert.Equal(t, n, 31, "places of services that are not in use any more")
+		})
+	}
+}
+
 // Guards against probes to servers whose load is known from answers, and
 // against repeated probes within the period.
 func TestProbeTargets(t *testing.T) {
