Do not cut off a request when its connection's idle time runs out

nbhttp's read deadline ran on while a request was answered: it is set when a connection is accepted and after each answer, and 120 s later the connection is closed with the request in flight. A request that came after 119 s of silence and ran for 2 s was lost. The deadline is now cleared when a request is parsed, and set again by each part of a request that is not yet whole.

Seen failing (go test -run 'TestSilentCallers|TestRequestOutlastsKeepAlive' ./internal/http1): before the change TestRequestOutlastsKeepAlive "unexpected EOF"; without the stall timer of conn.await "stops reading ... 1 connections, 1 requests" after 10 s; with deadlines of an hour "1 connections, 0 requests" in the three other cases.

One run in 41 of TestBadInputGetsAnAnswer under -race failed ("bad length", unexpected EOF).

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -16,8 +16,7 @@
 const (
 	// maxQueued bounds the bytes of an answer that wait for a slow caller.
 	maxQueued = 256 << 10
-	// stallTimeout is how long a write may make no progress.
-	stallTimeout = 30 * time.Second
+	defaultStall = 30 * time.Second
 	writeBuffer  = 16 << 10
 )
 
@@ -32,6 +31,8 @@
 	// queued is the number of bytes written but not yet taken by the kernel. It
 	// is briefly negative when the kernel takes them before Write has added them.
 	queued atomic.Int64
+	// stall is how long a write may make no progress.
+	stall time.Duration
 	// room is signalled after the kernel took bytes.
 	room chan struct{}
 
@@ -82,14 +83,14 @@
 	if c.queued.Load() <= limit {
 		return nil
 	}
-	stall := time.NewTimer(stallTimeout)
+	stall := time.NewTimer(c.stall)
 	defer stall.Stop()
 	check := time.NewTicker(100 * time.Millisecond)
 	defer check.Stop()
 	for c.queued.Load() > limit {
 		select {
 		case <-c.room:
-			stall.Reset(stallTimeout)
+			stall.Reset(c.stall)
 		case <-check.C:
 			// The connection may have been closed without a last signal.
 			if closed, _ := c.IsClosed(); closed {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	keepAlive = 120 * time.Second
+	defaultKeepAlive = 120 * time.Second
 	// maxHeader bounds the bytes of a request that the parser may keep back.
 	maxHeader = 64 << 10
 	// readBuffer is the size of the shared read buffer of each poller.
@@ -42,6 +42,10 @@
 	BadRequest BadRequest
 	// MaxBody bounds a request body in bytes; zero means 8 MB.
 	MaxBody int
+	// KeepAlive is how long a connection may be idle; zero means 120 s.
+	KeepAlive time.Duration
+	// Stall is how long a write may make no progress; zero means 30 s.
+	Stall time.Duration
 
 	engine   *nbhttp.Engine
 	listener net.Listener
@@ -64,6 +68,12 @@
 	if s.MaxBody == 0 {
 		s.MaxBody = 8 << 20
 	}
+	if s.KeepAlive == 0 {
+		s.KeepAlive = defaultKeepAlive
+	}
+	if s.Stall == 0 {
+		s.Stall = defaultStall
+	}
 	s.conns = make(map[*nbio.Conn]*conn)
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -79,7 +89,7 @@
 		ReadLimit:       maxHeader,
 		ReadBufferSize:  readBuffer,
 		MaxHTTPBodySize: s.MaxBody,
-		KeepaliveTime:   keepAlive,
+		KeepaliveTime:   s.KeepAlive,
 		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		ServerExecutor:  func(f func()) { go f() },
 		Handler:         http.HandlerFunc(s.serve),
@@ -104,7 +114,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.conns[nc] = &conn{Conn: nc, room: make(chan struct{}, 1)}
+	s.conns[nc] = &conn{Conn: nc, stall: s.Stall, room: make(chan struct{}, 1)}
 	s.mu.Unlock()
 }
 
@@ -128,6 +138,8 @@
 	if c := s.connOf(w); c != nil {
 		c.pending.Add(1)
 		c.keep(r, c.framer.take())
+		// A request may outlast the rest of the time that its connection may be idle.
+		_ = c.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -162,6 +174,9 @@
 	}
 	err := c.framer.feed(parser.Parse, data)
 	if err == nil {
+		if c.pending.Load() == 0 {
+			_ = c.SetReadDeadline(time.Now().Add(s.KeepAlive))
+		}
 		return
 	}
 	if c.pending.Load() == 0 && !errors.Is(err, net.ErrClosed) {
@@ -211,7 +226,7 @@
 		_ = c.Close()
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(keepAlive))
+	_ = c.SetReadDeadline(time.Now().Add(s.KeepAlive))
 }
 
 func (s *Server) isDraining() bool {
--- /dev/null
+++ b/internal/http1/silent_test.go
@@ -0,0 +1,115 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/vanillasail/vanillasail/internal/standin/relay"
+)
+
+// Guards against connections of callers that went silent and are kept for good,
+// with the work for them.
+func TestSilentCallers(t *testing.T) {
+	const endless = 1 << 40
+	cases := map[string]struct {
+		silence func(*relay.Relay, net.Conn)
+		size    int
+	}{
+		"idle":               {silence: func(path *relay.Relay, _ net.Conn) { path.Set(relay.Silent) }, size: 10},
+		"stops reading":      {silence: func(*relay.Relay, net.Conn) {}, size: endless},
+		"half of a request":  {silence: sendHalf, size: 10},
+		"silent and pending": {silence: silentPending, size: 10},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var open, running atomic.Int32
+			var read atomic.Int64
+			s := &Server{KeepAlive: 500 * time.Millisecond, Stall: 500 * time.Millisecond}
+			s.Handler = func(context.Context, *http.Request, []byte) *http.Response {
+				open.Add(1)
+				running.Add(1)
+				body := &closingBody{countingBody: &countingBody{left: tc.size, read: &read}, closed: sync.OnceFunc(func() { running.Add(-1) })}
+				return &http.Response{StatusCode: 200, Header: http.Header{}, Body: body, ContentLength: int64(tc.size)}
+			}
+			assert.NilError(t, s.Listen("127.0.0.1:0"))
+			t.Cleanup(s.Close)
+			path := &relay.Relay{Target: s.Addr()}
+			assert.NilError(t, path.StartTCP("127.0.0.1:0"))
+			t.Cleanup(path.Close)
+			c, err := net.Dial("tcp", path.TCPAddr())
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = c.Close() })
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			assert.NilError(t, err)
+			awaitCount(t, "requests", &open, 1)
+			tc.silence(path, c)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				s.Tick()
+				if conns, _ := s.Conns(); conns > 0 || running.Load() > 0 {
+					return poll.Continue("%d connections, %d requests", conns, running.Load())
+				}
+				return poll.Success()
+			}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+		})
+	}
+}
+
+// Guards against a request that is cut off because its connection had been idle
+// for nearly as long as it may be.
+func TestRequestOutlastsKeepAlive(t *testing.T) {
+	release := make(chan struct{})
+	s := &Server{KeepAlive: 300 * time.Millisecond}
+	s.Handler = func(context.Context, *http.Request, []byte) *http.Response {
+		<-release
+		return Text(http.StatusOK, "late")
+	}
+	assert.NilError(t, s.Listen("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	c := get(t, s)
+	// The limit is the subject, so the time itself is what is awaited.
+	time.AfterFunc(3*s.KeepAlive, func() { close(release) })
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.NilError(t, response.Body.Close())
+}
+
+func sendHalf(_ *relay.Relay, c net.Conn) {
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf")
+}
+
+// silentPending sends a request that never arrives.
+func silentPending(path *relay.Relay, c net.Conn) {
+	path.Set(relay.Silent)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+}
+
+func awaitCount(t *testing.T, what string, count *atomic.Int32, want int32) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if count.Load() < want {
+			return poll.Continue("%d %s", count.Load(), what)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+type closingBody struct {
+	*countingBody
+	closed func()
+}
+
+func (b *closingBody) Close() error {
+	b.closed()
+	return nil
+}
