--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -62,13 +63,22 @@
 	return false
 }
 
-// path N MODE sets the relay in front of node N to pass, cut or silent.
+// path nN MODE [from nM...] sets the relay in front of node N to pass, cut or
+// silent; with from, cut and pass concern the packets of these nodes only.
 func (w *world) setPath(args []string) error {
 	a, err := w.nodeOf(args[0])
 	if err != nil {
 		return err
 	}
-	return w.request(http.MethodPost, "http://"+a.relayAdmin+"/mode?value="+args[1], "", nil)
+	query := url.Values{"value": {args[1]}}
+	for _, name := range args[min(3, len(args)):] {
+		from, err := w.nodeOf(name)
+		if err != nil {
+			return err
+		}
+		query.Add("from", from.peer)
+	}
+	return w.request(http.MethodPost, "http://"+a.relayAdmin+"/mode?"+query.Encode(), "", nil)
 }
 
 func (w *world) nodeOf(name string) (nodeAddrs, error) {
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -41,6 +41,8 @@
 	udp     *net.UDPConn
 	pipes   map[*pipe]struct{}
 	flows   map[string]*flow
+	// blocked holds the peers whose packets are dropped both ways.
+	blocked map[string]bool
 }
 
 // StartTCP forwards TCP connections made to addr.
@@ -83,6 +85,23 @@
 	}
 }
 
+// Block drops the packets from and to one UDP peer (IP:port), or forwards them
+// again: a partition that separates this path from some peers only.
+func (r *Relay) Block(peer string, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.blocked == nil {
+		r.blocked = make(map[string]bool)
+	}
+	r.blocked[peer] = on
+}
+
+func (r *Relay) isBlocked(peer string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.blocked[peer]
+}
+
 func (r *Relay) current() Mode { return Mode(r.mode.Load()) }
 
 // Close stops the relay.
@@ -96,12 +115,19 @@
 	r.Set(Cut)
 }
 
-// ServeHTTP sets the mode by POST /mode?value=pass|cut|silent.
+// ServeHTTP sets the mode by POST /mode?value=pass|cut|silent. With from=IP:port,
+// repeated, cut and pass concern the packets of these peers only.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	mode, ok := modeNames[request.URL.Query().Get("value")]
 	if !ok {
 		http.Error(w, "value must be pass, cut or silent", http.StatusBadRequest)
 		return
 	}
-	r.Set(mode)
+	peers := request.URL.Query()["from"]
+	for _, peer := range peers {
+		r.Block(peer, mode != Pass)
+	}
+	if len(peers) == 0 {
+		r.Set(mode)
+	}
 }
--- a/internal/standin/relay/udp.go
+++ b/internal/standin/relay/udp.go
@@ -39,7 +39,7 @@
 			return
 		}
 		f := r.flow(peer)
-		if f == nil || f.silent.Load() || r.current() == Cut {
+		if f == nil || f.silent.Load() || r.current() == Cut || r.isBlocked(peer.String()) {
 			r.dropped.Add(1)
 			continue
 		}
@@ -74,7 +74,7 @@
 		if err != nil {
 			return
 		}
-		if f.silent.Load() || r.current() == Cut {
+		if f.silent.Load() || r.current() == Cut || r.isBlocked(f.peer.String()) {
 			r.dropped.Add(1)
 			continue
 		}
