--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	keepAlive = 120 * time.Second
+	defaultKeepAlive = 120 * time.Second
 	// maxHeader bounds the bytes of a request that the parser may keep back.
 	maxHeader = 64 << 10
 	// readBuffer is the size of the shared read buffer of each poller.
@@ -55,6 +55,10 @@
 	MaxBody int
 	// Memory bounds the bodies of all requests together; nil means no bound.
 	Memory Memory
+	// KeepAlive is how long a connection may be idle; zero means 120 s.
+	KeepAlive time.Duration
+	// Stall is how long a write may make no progress; zero means 30 s.
+	Stall time.Duration
 
 	engine   *nbhttp.Engine
 	listener net.Listener
@@ -77,6 +81,12 @@
 	if s.MaxBody == 0 {
 		s.MaxBody = 8 << 20
 	}
+	if s.KeepAlive == 0 {
+		s.KeepAlive = defaultKeepAlive
+	}
+	if s.Stall == 0 {
+		s.Stall = defaultStall
+	}
 	s.conns = make(map[*nbio.Conn]*conn)
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -93,7 +103,7 @@
 		ReadLimit:       s.MaxBody + maxHeader,
 		ReadBufferSize:  readBuffer,
 		MaxHTTPBodySize: s.MaxBody,
-		KeepaliveTime:   keepAlive,
+		KeepaliveTime:   s.KeepAlive,
 		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		ServerExecutor:  func(f func()) { go f() },
 		Handler:         http.HandlerFunc(s.serve),
@@ -118,7 +128,9 @@
 		return
 	}
 	s.mu.Lock()
-	s.conns[nc] = &conn{Conn: nc, room: make(chan struct{}, 1), framer: framer{limit: s.MaxBody, memory: s.Memory}}
+	s.conns[nc] = &conn{
+		Conn: nc, stall: s.Stall, room: make(chan struct{}, 1), framer: framer{limit: s.MaxBody, memory: s.Memory},
+	}
 	s.mu.Unlock()
 }
 
@@ -148,6 +160,8 @@
 	if c := s.connOf(w); c != nil {
 		c.pending.Add(1)
 		c.keep(r, c.framer.take())
+		// A request may outlast the rest of the time that its connection may be idle.
+		_ = c.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -182,6 +196,9 @@
 	}
 	err := c.framer.feed(parser.Parse, data)
 	if err == nil {
+		if c.pending.Load() == 0 {
+			_ = c.SetReadDeadline(time.Now().Add(s.KeepAlive))
+		}
 		return
 	}
 	if c.pending.Load() == 0 && !errors.Is(err, net.ErrClosed) {
@@ -235,7 +252,7 @@
 		_ = c.Close()
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(keepAlive))
+	_ = c.SetReadDeadline(time.Now().Add(s.KeepAlive))
 }
 
 func (s *Server) isDraining() bool {
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -31,6 +31,13 @@
 	// maxTickGap is far above the interval between ticks.
 	maxTickGap = 250 * time.Millisecond
 
+	// lingerTime is how long a node that stops still refuses requests that were
+	// on their way: it is far above a round trip, and covers a lost packet.
+	lingerTime = 500 * time.Millisecond
+
+	// retireTime is longer than the longest request.
+	retireTime = 35 * time.Second
+
 	maxStreams = 4096
 
 	codeCanceled quic.StreamErrorCode      = 1
@@ -71,6 +78,9 @@
 	// links has at most maxLinks entries; the key is the peer's ID.
 	links  map[string]*link
 	closed bool
+	// generation is that of the credentials with which the links were dialed;
+	// only the tick uses it.
+	generation uint64
 }
 
 // Listen opens the UDP socket and starts to accept connections.
@@ -83,6 +93,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on UDP %s; choose a free port", addr)
 	}
+	t.generation = t.Credentials.generation.Load()
 	t.quic = &quic.Transport{Conn: socket}
 	t.listener, err = t.quic.Listen(t.Credentials.tlsConfig(), quicConfig())
 	if err != nil {
@@ -165,6 +176,12 @@
 
 // Tick closes links that are silent or idle.
 func (t *Transport) Tick(now time.Time) {
+	if g := t.Credentials.generation.Load(); g != t.generation {
+		t.generation = g
+		for _, l := range t.snapshot() {
+			l.retire()
+		}
+	}
 	for _, l := range t.snapshot() {
 		switch l.silence(now) {
 		case silenceClose:
@@ -219,6 +236,8 @@
 }
 
 // Close waits for streams in flight until ctx ends, then closes the socket.
+// Between the two it lingers: closing a connection discards what it has not yet
+// delivered, which may be the end of an answer or the refusal of a request.
 func (t *Transport) Close(ctx context.Context) error {
 	t.mu.Lock()
 	t.closed = true
@@ -230,6 +249,7 @@
 	}()
 	select {
 	case <-done:
+		linger(ctx)
 	case <-ctx.Done():
 	}
 	for _, l := range t.snapshot() {
@@ -242,6 +262,15 @@
 	return err
 }
 
+func linger(ctx context.Context) {
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // closeAccepted tells other nodes that this one is gone. Without it they would
 // use their connections until they noticed the silence.
 func (t *Transport) closeAccepted() {
