Remove the rows of members that are gone from the table

Ruled out: the age by the time in the row (a writer whose clock is ahead makes all others old), and removal by the leaving node itself (the row tells the last incarnation to the next run under the same ID).

memberRows.Put tried to create the row, read it and swapped it: 3 requests for each refresh. It now remembers the version and needs 1; the first write after a start uses the version from the list that the join reads anyway; after a lost reply or a removal it needs 3 once.

--- /dev/null
+++ b/internal/daemon/member_rows.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"github.com/vanillasail/vanillasail/internal/table"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// memberRows keeps member rows in the table. Only the node itself writes its
+// row, so the last write wins.
+type memberRows struct {
+	table.Client
+	// own is the key of the node's row.
+	own string
+
+	mu sync.Mutex
+	// tag is the version of the own row that was read or written last; a refresh
+	// with it is one request.
+	tag string
+}
+
+// List implements gossip.Rows.
+func (r *memberRows) List(ctx context.Context, prefix string) (map[string][]byte, error) {
+	rows, err := r.Client.List(ctx, prefix)
+	values := make(map[string][]byte, len(rows))
+	for _, row := range rows {
+		values[row.Key] = row.Value
+		if row.Key == r.own {
+			r.remember(row.Tag)
+		}
+	}
+	return values, err
+}
+
+// Put implements gossip.Rows. The row has another version than expected after a
+// lost reply, and none when it was removed while this node was cut off.
+func (r *memberRows) Put(ctx context.Context, key string, value []byte) error {
+	r.mu.Lock()
+	tag := r.tag
+	r.mu.Unlock()
+	written, err := r.write(ctx, key, tag, value)
+	if fault.Is(err, fault.KindConflict) {
+		old, getErr := r.Get(ctx, key)
+		if getErr != nil && !fault.Is(getErr, fault.KindNotFound) {
+			return getErr
+		}
+		written, err = r.write(ctx, key, old.Tag, value)
+	}
+	if err != nil {
+		return err
+	}
+	r.remember(written)
+	return nil
+}
+
+func (r *memberRows) write(ctx context.Context, key, tag string, value []byte) (string, error) {
+	if tag == "" {
+		return r.Create(ctx, key, value)
+	}
+	return r.Swap(ctx, key, tag, value)
+}
+
+func (r *memberRows) remember(tag string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tag = tag
+}
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -6,9 +6,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/gossip"
 	"github.com/vanillasail/vanillasail/internal/node"
-	"github.com/vanillasail/vanillasail/internal/table"
 	"github.com/vanillasail/vanillasail/pkg/budget"
-	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
 	"github.com/vanillasail/vanillasail/pkg/routing"
 )
@@ -19,6 +17,7 @@
 	protocol  member.Protocol
 	gossip    gossip.Node
 	announcer gossip.Announcer
+	sweeper   gossip.Sweeper
 	routes    *routing.Table
 	// ticked is when the protocol was last ticked.
 	ticked time.Time
@@ -39,11 +38,27 @@
 	m.gossip.Conn, m.gossip.Protocol, m.gossip.Sealer = conn, &m.protocol, sealer
 	m.gossip.Budget, m.gossip.Observer = gossipBudget{limits}, m
 	m.announcer.Node = &m.gossip
-	m.announcer.Rows = memberRows{m.tableClient()}
+	m.announcer.Rows = &memberRows{Client: m.tableClient(), own: gossip.RowPrefix + m.ID}
+	m.sweeper.Rows, m.sweeper.Node = m.tableClient(), &m.gossip
 	m.gossip.Start(ctx)
 	return nil
 }
 
+// refresh keeps the own member row and removes those of members that are gone.
+func (m *membership) refresh(ctx context.Context, now time.Time) {
+	log := m.Log.WithField("node", m.ID)
+	if err := m.announcer.Refresh(ctx, now); err != nil {
+		log.WithError(err).Debug("member row not refreshed")
+	}
+	removed, err := m.sweeper.Sweep(ctx, now)
+	if err != nil {
+		log.WithError(err).Debug("old member rows not removed")
+	}
+	for _, key := range removed {
+		log.WithField("row", key).Info("old member row removed")
+	}
+}
+
 // tick drives the protocol at its own interval.
 func (m *membership) tick(now time.Time) {
 	if now.Sub(m.ticked) >= member.Interval {
@@ -129,31 +144,3 @@
 	}
 	return b.limits.Allow(shed, bytes, now, budget.Link(link.From, link.To))
 }
-
-// memberRows keeps member rows in the table. Only the node itself writes its
-// row, so the last write wins.
-type memberRows struct{ table.Client }
-
-// List implements gossip.Rows.
-func (r memberRows) List(ctx context.Context, prefix string) (map[string][]byte, error) {
-	rows, err := r.Client.List(ctx, prefix)
-	values := make(map[string][]byte, len(rows))
-	for _, row := range rows {
-		values[row.Key] = row.Value
-	}
-	return values, err
-}
-
-// Put implements gossip.Rows.
-func (r memberRows) Put(ctx context.Context, key string, value []byte) error {
-	_, err := r.Create(ctx, key, value)
-	if !fault.Is(err, fault.KindConflict) {
-		return err
-	}
-	old, err := r.Get(ctx, key)
-	if err != nil {
-		return err
-	}
-	_, err = r.Swap(ctx, key, old.Tag, value)
-	return err
-}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -181,9 +181,7 @@
 				n.far.crash.join(ctx)
 			}
 			n.config.follow(ctx, time.Now())
-			if err := n.members.announcer.Refresh(ctx, time.Now()); err != nil {
-				n.Log.WithError(err).WithField("node", n.ID).Debug("member row not refreshed")
-			}
+			n.members.refresh(ctx, time.Now())
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/internal/gossip/sweeper_test.go
@@ -0,0 +1,130 @@
+package gossip_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/gossip"
+	"github.com/vanillasail/vanillasail/internal/standin/store"
+	endpoint "github.com/vanillasail/vanillasail/internal/store"
+	"github.com/vanillasail/vanillasail/internal/table"
+	"github.com/vanillasail/vanillasail/pkg/member"
+)
+
+// returning is a table in which a member writes its row again just before it is
+// removed.
+type returning struct {
+	table.Client
+	t    *testing.T
+	keys map[string]bool
+}
+
+func (r returning) Delete(ctx context.Context, key, tag string) error {
+	if r.keys[key] {
+		_, err := r.Swap(ctx, key, tag, []byte("written by the member"))
+		assert.NilError(r.t, err)
+	}
+	return r.Client.Delete(ctx, key, tag)
+}
+
+// sweepDay starts a table with the rows of two live members and of the given
+// ones, sweeps, and returns the rows that are left.
+func sweepDay(t *testing.T, gone []member.Member, back map[string]bool, sweeps int, each func(s *store.Server, c table.Client, i int)) map[string]bool {
+	s := new(store.Server)
+	assert.NilError(t, s.Start("127.0.0.1:0"))
+	t.Cleanup(func() { assert.NilError(t, s.Stop(context.Background())) })
+	c := table.Client{Endpoint: endpoint.Endpoint{Base: s.URL()}}
+	live := []member.Member{
+		member.Member{Ref: member.Ref{ID: "oldest", Incarnation: 5}}.WithAddr("10.0.0.1:1"),
+		member.Member{Ref: member.Ref{ID: "other", Incarnation: 6}}.WithAddr("10.0.0.2:1"),
+	}
+	for _, m := range append(live, gone...) {
+		value, err := msgpack.Marshal(m)
+		assert.NilError(t, err)
+		_, err = c.Create(t.Context(), gossip.RowPrefix+m.ID, value)
+		assert.NilError(t, err)
+	}
+	n := &gossip.Node{Protocol: &member.Protocol{Self: live[0]}}
+	now := time.Unix(1, 0)
+	n.Protocol.Learn(now, live)
+	sweeper := gossip.Sweeper{Rows: returning{c, t, back}, Node: n}
+	for i := range sweeps {
+		each(s, c, i)
+		_, _ = sweeper.Sweep(t.Context(), now)
+		now = now.Add(gossip.SweepEvery)
+	}
+	s.Table.SetFault(store.Fault{})
+	rows, err := c.List(t.Context(), gossip.RowPrefix)
+	assert.NilError(t, err)
+	left := make(map[string]bool)
+	for _, r := range rows {
+		left[r.Key[len(gossip.RowPrefix):]] = true
+	}
+	assert.Assert(t, left["oldest"] && left["other"], "the row of a live member was removed")
+	return left
+}
+
+// Guards against rows that stay for ever, and against the removal of rows whose
+// members may return: a member that was paused or cut off for less than a day,
+// one that could not write during a store outage, and one that writes at the
+// moment of the removal. A lost reply of a removal must not end the removals.
+func TestOldRowsAreRemoved(t *testing.T) {
+	gone := member.Member{Ref: member.Ref{ID: "gone", Incarnation: 7}}.WithAddr("10.0.0.3:1")
+	superseded := gone.WithAddr("10.0.0.2:1").WithIncarnation(1)
+	healthy := func(*store.Server, table.Client, int) {}
+	cases := map[string]struct {
+		member member.Member
+		back   map[string]bool
+		sweeps int
+		each   func(s *store.Server, c table.Client, i int)
+		stays  bool
+	}{
+		"superseded, seen once":   {superseded, nil, 1, healthy, true},
+		"superseded":              {superseded, nil, 2, healthy, false},
+		"superseded, writes":      {superseded, map[string]bool{"member/gone": true}, 2, healthy, true},
+		"newer than the holder":   {superseded.WithIncarnation(9), nil, 10, healthy, true},
+		"absent for a day":        {gone, nil, 144, healthy, true},
+		"absent for over a day":   {gone, nil, 145, healthy, false},
+		"writes when removed":     {gone, map[string]bool{"member/gone": true}, 145, healthy, true},
+		"replies of removal lost": {gone, nil, 145, func(s *store.Server, _ table.Client, _ int) { s.Table.SetFault(store.Fault{Lose: 1}) }, false},
+		"store down at the removal": {gone, nil, 146, func(s *store.Server, _ table.Client, i int) {
+			s.Table.SetFault(store.Fault{Down: i == 144})
+		}, false},
+		"store down for days": {gone, nil, 700, func(s *store.Server, _ table.Client, i int) {
+			s.Table.SetFault(store.Fault{Down: i > 100 && i < 660})
+		}, true},
+		"returned after 23 hours": {gone, nil, 200, func(_ *store.Server, c table.Client, i int) {
+			if i == 138 {
+				r, err := c.Get(context.Background(), "member/gone")
+				assert.NilError(t, err)
+				_, err = c.Swap(context.Background(), r.Key, r.Tag, r.Value)
+				assert.NilError(t, err)
+			}
+		}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, sweepDay(t, []member.Member{tc.member}, tc.back, tc.sweeps, tc.each)["gone"], tc.stays)
+		})
+	}
+}
+
+// Guards against 710 nodes that each read all rows.
+func TestOnlyTheOldestSweeps(t *testing.T) {
+	older := member.Member{Ref: member.Ref{ID: "older", Incarnation: 1}}.WithAddr("10.0.0.9:1")
+	s := new(store.Server)
+	assert.NilError(t, s.Start("127.0.0.1:0"))
+	defer func() { assert.NilError(t, s.Stop(context.Background())) }()
+	n := &gossip.Node{Protocol: &member.Protocol{Self: older.WithIncarnation(2).WithAddr("10.0.0.1:1")}}
+	n.Protocol.Self.ID = "younger"
+	now := time.Unix(1, 0)
+	n.Protocol.Learn(now, []member.Member{older})
+	sweeper := gossip.Sweeper{Rows: table.Client{Endpoint: endpoint.Endpoint{Base: s.URL()}}, Node: n}
+	_, err := sweeper.Sweep(t.Context(), now)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Table.Counts().Operations["list"], 0)
+}
