Log the stop of the last node as what it is

A planned stop of the only node, or of the last of a cluster that stops, logged the warning "shards not handed over", as if records had been lost by a fault. It now logs at info level that no member is left to take the shards. Members that are known and not leaving, reachable or not, still make it a warning: they may run. Waiting for keyed requests under way is reported on its own; its error was hidden behind that of the hand-over.

go test ./internal/daemon -run LastNode. Seen failing: without the case for the last node ("last node": logged "shards not handed over"), and with it for every error ("store down, others run": no warning).

--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// last reports whether all other known members are leaving. Members that cannot
+// be reached may still run.
+func (m *membership) last() bool {
+	for _, other := range m.protocol.Table().Members() {
+		if other.ID != m.ID && other.Own != member.StateLeaving {
+			return false
+		}
+	}
+	return true
+}
+
 // route copies one member into the routing table. before is the service that
 // the member served until now, or empty when it is not known.
 func (m *membership) route(other member.Member, before string, now time.Time) {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -214,9 +214,7 @@
 	n.Log.WithField("node", n.ID).Info("node stopping")
 	n.far.stopping.Store(true)
 	n.members.gossip.Leave(time.Now())
-	if err := n.shards.stop(ctx); err != nil {
-		n.Log.WithError(err).WithField("node", n.ID).Warn("shards not handed over")
-	}
+	n.handOver(ctx)
 	left := n.callers.Drain(ctx, n.Notice)
 	_ = n.peers.Close(ctx)
 	n.cancel()
@@ -228,6 +226,24 @@
 	n.Log.WithField("node", n.ID).WithField("left", left).Info("node stopped")
 }
 
+// handOver gives the shards to other members and waits for attempts under way.
+// A node that stops when all others have stopped has nobody to give them to,
+// which is no fault.
+func (n *Node) handOver(ctx context.Context) {
+	err := n.shards.handOver(ctx)
+	entry := n.Log.WithField("node", n.ID)
+	switch {
+	case err == nil:
+	case n.members.last():
+		entry.Info("last node stops: no member is left to take its shards")
+	default:
+		entry.WithError(err).Warn("shards not handed over")
+	}
+	if err := n.shards.Wait(ctx); err != nil {
+		entry.WithError(err).Warn("keyed requests still running")
+	}
+}
+
 // Kill ends the node at once, as a crash does.
 func (n *Node) Kill() {
 	n.cancel()
--- a/internal/daemon/once_test.go
+++ b/internal/daemon/once_test.go
@@ -6,6 +6,13 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/standin/store"
 )
 
 // Guards against a resent key that gets another answer than the first one, or
@@ -52,3 +59,40 @@
 		t.Errorf("%s: first %q, then %q", key, texts[0], texts[1])
 	}
 }
+
+// Guards against a planned stop of the last node that looks like a fault in the
+// log, and against shards that are lost without a warning.
+func TestStopOfTheLastNodeIsNoFault(t *testing.T) {
+	for name, tc := range map[string]struct {
+		nodes int
+		want  string
+	}{
+		"last node":              {1, "last node stops: no member is left to take its shards"},
+		"store down, others run": {2, "shards not handed over"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			logged := memory.New()
+			c := startChanged(t, tc.nodes, func(n *Node) {
+				if n.ID == "n0" {
+					n.Log = &log.Logger{Handler: logged}
+				}
+			})
+			for i := range 50 {
+				c.resend(t, i, fmt.Sprintf("k%d", i))
+			}
+			c.store.Table.SetFault(store.Fault{Down: tc.nodes > 1})
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			c.nodes[0].Stop(ctx)
+			warnings, messages := 0, make(map[string]bool)
+			for _, e := range logged.Entries {
+				messages[e.Message] = true
+				if e.Level >= log.WarnLevel {
+					warnings++
+				}
+			}
+			assert.Assert(t, messages[tc.want], "logged %v", messages)
+			assert.Equal(t, warnings > 0, tc.nodes > 1, "logged %v", messages)
+		})
+	}
+}
--- a/internal/daemon/shards.go
+++ b/internal/daemon/shards.go
@@ -61,15 +61,11 @@
 	}
 }
 
-// stop hands the shards to other members and waits for attempts under way.
-func (s *shards) stop(ctx context.Context) error {
+// handOver hands the shards to other members.
+func (s *shards) handOver(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	err := s.HandOver(limited)
-	if waited := s.Wait(ctx); err == nil {
-		err = waited
-	}
-	return err
+	return s.HandOver(limited)
 }
 
 // peerCalls answers requests from other nodes: as the owner of a key, or for
