Give a node one byte budget for all its measuring

Budgets hold for each server and each link, so a nearly idle node that calls two services sent more than 9 KB/s: one probe a second to each server (200 B), as much in answers to others, and 1.4 KB/s of membership.

The node now counts in one budget of 9,000 B/s what it sends for membership, answers to probes, and probes. Membership and answers are always sent; own probes may use the budget up to 85 %. Probes that do not fit wait in order, so that the period grows with the number of servers that need them; a server is in the queue once. Ruled out: limiting the probes alone, which would ignore the membership of a lost domain and the answers to others, and a period computed from the number of used servers, most of which answers report for free.

The budget is not a bound for membership itself: its pacer is (8.8 KB/s at the loss of a domain), so that a second in which a domain is lost can hold that and the probes before it.

--- a/internal/daemon/measuring.go
+++ b/internal/daemon/measuring.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -22,6 +24,9 @@
 	probeTimeout  = 250 * time.Millisecond
 	// maxProbes bounds the probes that are under way at once.
 	maxProbes = 16
+	// nodeBytes is what one node may send in a second for membership, probes and
+	// answers to probes together.
+	nodeBytes = 9000
 )
 
 // measuring keeps the measuring budgets in force and asks other nodes for the
@@ -38,6 +43,11 @@
 	set     bool
 	probed  time.Time
 	targets []routing.ProbeTarget
+	// waiting holds the targets that the node's bytes have not sufficed for, the
+	// longest waiting first: the period of the probes grows with the number of
+	// servers that need them.
+	waiting []routing.ProbeTarget
+	spent   nodeBudget
 	running chan struct{}
 }
 
@@ -45,23 +55,57 @@
 	m.common, m.limits, m.routes = n.far.common, &n.limits, &n.routes
 	m.members, m.node = &n.members, &n.peers
 	m.running = make(chan struct{}, maxProbes)
+	m.spent.limits.SetServers(budget.Rate{Messages: math.MaxInt32, Bytes: nodeBytes})
+	n.members.spent = &m.spent
 	n.peers.Controls[kindLoad] = func(context.Context, string, []byte) ([]byte, error) {
+		m.spent.count(probeBytes, time.Now())
 		return msgpack.Marshal(n.far.load())
 	}
 }
 
 func (m *measuring) tick(ctx context.Context, now time.Time, current *config.Snapshot) {
 	m.configure(current)
+	m.spent.limits.Tick(now)
 	if now.Sub(m.probed) < probeInterval {
 		return
 	}
 	m.probed = now
 	m.targets = m.routes.ProbeTargets(now, m.targets[:0])
 	for _, target := range m.targets {
+		if m.reachable(target) && !slices.Contains(m.waiting, target) {
+			m.waiting = append(m.waiting, target)
+		}
+	}
+	for len(m.waiting) > 0 && m.spent.allows(probeBytes, now) {
+		target := m.waiting[0]
+		m.waiting = slices.Delete(m.waiting, 0, 1)
 		m.start(ctx, target, now)
 	}
 }
 
+// reachable reports whether there is an open link to the target: the handshake
+// of a new one costs more than the answer is worth.
+func (m *measuring) reachable(target routing.ProbeTarget) bool {
+	peer, ok := m.members.peer(target.ID)
+	return ok && target.ID != m.ID && m.node.Connected(peer)
+}
+
+// nodeBudget limits what the node itself sends for measuring. Membership and
+// answers to probes are sent in any case, and the own probes make room.
+type nodeBudget struct{ limits budget.Limiter }
+
+var ownKey = budget.Server("")
+
+func (b *nodeBudget) count(bytes int, now time.Time) {
+	b.limits.Count(budget.Control, bytes, now, ownKey)
+}
+
+// allows spends the bytes of a probe. The class leaves 15 % for membership and
+// answers, which do not ask.
+func (b *nodeBudget) allows(bytes int, now time.Time) bool {
+	return b.limits.Allow(budget.AntiEntropy, bytes, now, ownKey)
+}
+
 // configure applies the budgets of the settings, and those of the configuration
 // where it names them.
 func (m *measuring) configure(current *config.Snapshot) {
@@ -89,11 +133,10 @@
 	return budget.Rate{Messages: int64(b.Messages), Bytes: int64(b.Bytes)}
 }
 
-// start sends a probe if the budgets allow it. Only open links are used: the
-// handshake of a new one costs more than the answer is worth.
+// start sends a probe if the budgets of the server and the link allow it.
 func (m *measuring) start(ctx context.Context, target routing.ProbeTarget, now time.Time) {
 	peer, ok := m.members.peer(target.ID)
-	if !ok || target.ID == m.ID || !m.node.Connected(peer) {
+	if !ok || !m.reachable(target) {
 		return
 	}
 	select {
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -19,6 +19,7 @@
 	announcer gossip.Announcer
 	sweeper   gossip.Sweeper
 	routes    *routing.Table
+	spent     *nodeBudget
 	// ticked is when the protocol was last ticked.
 	ticked time.Time
 }
@@ -36,7 +37,7 @@
 	}
 	m.protocol.Seeds = m.Seeds
 	m.gossip.Conn, m.gossip.Protocol, m.gossip.Sealer = conn, &m.protocol, sealer
-	m.gossip.Budget, m.gossip.Observer = gossipBudget{limits}, m
+	m.gossip.Budget, m.gossip.Observer = gossipBudget{limits, m.spent}, m
 	m.announcer.Node = &m.gossip
 	m.announcer.Rows = &memberRows{Client: m.tableClient(), own: gossip.RowPrefix + m.ID}
 	m.sweeper.Rows, m.sweeper.Node = m.tableClient(), &m.gossip
@@ -144,8 +145,12 @@
 	return node.Peer{ID: m.ID, Addr: m.Addr, Incarnation: m.Incarnation}
 }
 
-// gossipBudget passes membership traffic through the measuring budget.
-type gossipBudget struct{ limits *budget.Limiter }
+// gossipBudget passes membership traffic through the measuring budget of the
+// link, and counts it in that of the node.
+type gossipBudget struct {
+	limits *budget.Limiter
+	spent  *nodeBudget
+}
 
 // Allow implements gossip.Budget.
 func (b gossipBudget) Allow(link gossip.Link, class member.Class, bytes int, now time.Time) bool {
@@ -153,5 +158,9 @@
 	if class == member.ClassAntiEntropy {
 		shed = budget.AntiEntropy
 	}
-	return b.limits.Allow(shed, bytes, now, budget.Link(link.From, link.To))
+	if !b.limits.Allow(shed, bytes, now, budget.Link(link.From, link.To)) {
+		return false
+	}
+	b.spent.count(bytes, now)
+	return true
 }
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -56,6 +56,8 @@
 	MaxBody int
 	// Credentials hold certificate and authorities; never nil.
 	Credentials *Credentials
+	// Socket may replace the UDP socket by one that also counts; nil keeps it.
+	Socket func(socket *net.UDPConn) net.PacketConn
 
 	quic     *quic.Transport
 	listener *quic.Listener
@@ -80,6 +82,9 @@
 		return eris.Wrapf(err, "listen on UDP %s; choose a free port", addr)
 	}
 	t.quic = &quic.Transport{Conn: socket}
+	if t.Socket != nil {
+		t.quic.Conn = t.Socket(socket)
+	}
 	t.listener, err = t.quic.Listen(t.Credentials.tlsConfig(), quicConfig())
 	if err != nil {
 		_ = socket.Close()
--- a/pkg/budget/limiter.go
+++ b/pkg/budget/limiter.go
@@ -69,6 +69,15 @@
 	return ok
 }
 
+// Count records a message that is sent whatever the budget says, so that
+// messages of lower importance make room for it.
+func (l *Limiter) Count(c Class, bytes int, now time.Time, k Key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fits(k, c, int64(max(bytes, 0)), l.clock.advance(now))
+	l.settle(k, c, int64(max(bytes, 0)), l.buckets[k] != nil)
+}
+
 func (l *Limiter) fits(k Key, c Class, size int64, elapsed time.Duration) bool {
 	b := l.bucket(k)
 	if b == nil {
--- a/pkg/budget/limiter_test.go
+++ b/pkg/budget/limiter_test.go
@@ -129,3 +129,19 @@
 		assert.Assert(t, now.Before(time.Unix(1_000_000, 0).Add(-59*time.Minute)))
 	}
 }
+
+// Guards against messages that are sent without asking and leave the others
+// their whole budget.
+func TestCountedMessagesMakeRoom(t *testing.T) {
+	var l Limiter
+	l.SetServers(Rate{Messages: 100, Bytes: 1000})
+	now, key := time.Unix(1, 0), Server("a")
+	l.Count(Control, 2000, now, key)
+	assert.Assert(t, !l.Allow(Control, 1, now, key), "the budget is spent")
+	assert.Equal(t, l.Counters(key).Spent[Control], Count{Messages: 1, Bytes: 2000})
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		l.Tick(now)
+	}
+	assert.Assert(t, l.Allow(Control, 1, now, key))
+}
