--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -143,3 +143,19 @@
 	n := p.regions[from].nodes + p.regions[to].nodes
 	return n + (n+9)/10
 }
+
+// nodeBudget limits what the node itself sends for measuring. Membership and
+// answers to probes are sent in any case, and the own probes make room.
+type nodeBudget struct{ limits budget.Limiter }
+
+var ownKey = budget.Server("")
+
+func (b *nodeBudget) count(bytes int, now time.Time) {
+	b.limits.Count(budget.Control, bytes, now, ownKey)
+}
+
+// allows spends the bytes of a probe. The class leaves 15 % for membership and
+// answers, which do not ask.
+func (b *nodeBudget) allows(bytes int, now time.Time) bool {
+	return b.limits.Allow(budget.AntiEntropy, bytes, now, ownKey)
+}
--- a/internal/daemon/measuring.go
+++ b/internal/daemon/measuring.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -24,6 +26,9 @@
 	probeTimeout  = 250 * time.Millisecond
 	// maxProbes bounds the probes that are under way at once.
 	maxProbes = 16
+	// nodeBytes is what one node may send in a second for membership, probes and
+	// answers to probes together.
+	nodeBytes = 9000
 )
 
 // measuring keeps the measuring budgets in force and asks other nodes for the
@@ -37,6 +42,11 @@
 	node    *node.Transport
 	probed  time.Time
 	targets []routing.ProbeTarget
+	// waiting holds the targets that the node's bytes have not sufficed for, the
+	// longest waiting first: the period of the probes grows with the number of
+	// servers that need them.
+	waiting []routing.ProbeTarget
+	spent   nodeBudget
 	running chan struct{}
 }
 
@@ -45,8 +55,12 @@
 	m.members, m.node = &n.members, &n.peers
 	m.running = make(chan struct{}, maxProbes)
 	m.budgets = budgets{common: m.common, limits: m.limits, members: n.members.protocol.Table()}
+	m.spent.limits.SetServers(budget.Rate{Messages: math.MaxInt32, Bytes: nodeBytes})
+	n.members.spent = &m.spent
 	n.peers.Controls[kindLoad] = func(context.Context, string, []byte) ([]byte, error) {
-		if !m.budgets.admit(time.Now()) {
+		now := time.Now()
+		m.spent.count(probeBytes, now)
+		if !m.budgets.admit(now) {
 			return nil, fault.New(fault.KindOverloaded, "the measuring budget of the server beside node %s is spent", n.ID)
 		}
 		return msgpack.Marshal(n.far.load())
@@ -55,21 +69,35 @@
 
 func (m *measuring) tick(ctx context.Context, now time.Time, current *config.Snapshot) {
 	m.budgets.tick(now, current)
+	m.spent.limits.Tick(now)
 	if now.Sub(m.probed) < probeInterval {
 		return
 	}
 	m.probed = now
 	m.targets = m.routes.ProbeTargets(now, m.targets[:0])
 	for _, target := range m.targets {
+		if m.reachable(target) && !slices.Contains(m.waiting, target) {
+			m.waiting = append(m.waiting, target)
+		}
+	}
+	for len(m.waiting) > 0 && m.spent.allows(probeBytes, now) {
+		target := m.waiting[0]
+		m.waiting = slices.Delete(m.waiting, 0, 1)
 		m.start(ctx, target, now)
 	}
 }
 
-// start sends a probe if the budgets allow it. Only open links are used: the
-// handshake of a new one costs more than the answer is worth.
+// reachable reports whether there is an open link to the target: the handshake
+// of a new one costs more than the answer is worth.
+func (m *measuring) reachable(target routing.ProbeTarget) bool {
+	peer, ok := m.members.peer(target.ID)
+	return ok && target.ID != m.ID && m.node.Connected(peer)
+}
+
+// start sends a probe if the budgets of the server and the link allow it.
 func (m *measuring) start(ctx context.Context, target routing.ProbeTarget, now time.Time) {
 	peer, ok := m.members.peer(target.ID)
-	if !ok || target.ID == m.ID || !m.node.Connected(peer) {
+	if !ok || !m.reachable(target) {
 		return
 	}
 	select {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -78,7 +78,7 @@
 		refuse(stream, fault.New(fault.KindTooLarge, "body of %d bytes is over the limit of %d", head.Size, limit))
 		return
 	}
-	if t.Bodies != nil {
+	if head.Call != nil && t.Bodies != nil {
 		if !t.Bodies.Take(head.Size) {
 			refuse(stream, fault.New(fault.KindOverloaded, "%d bytes of request bodies are held", t.Bodies.Held()))
 			return
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -67,6 +67,8 @@
 	Bodies *call.Bodies
 	// Credentials hold certificate and authorities; never nil.
 	Credentials *Credentials
+	// Socket may replace the UDP socket by one that also counts; nil keeps it.
+	Socket func(socket *net.UDPConn) net.PacketConn
 
 	quic     *quic.Transport
 	listener *quic.Listener
@@ -95,6 +97,9 @@
 	}
 	t.generation = t.Credentials.generation.Load()
 	t.quic = &quic.Transport{Conn: socket}
+	if t.Socket != nil {
+		t.quic.Conn = t.Socket(socket)
+	}
 	t.listener, err = t.quic.Listen(t.Credentials.tlsConfig(), quicConfig())
 	if err != nil {
 		_ = socket.Close()
