--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -135,7 +135,7 @@
 }
 
 func (p configPeers) version(ctx context.Context, m member.Member) (config.Version, bool) {
-	reply, err := p.node.Ask(ctx, peerOf(m), kindConfigVersion, nil)
+	reply, err := p.node.Control(ctx, peerOf(m), kindConfigVersion, nil)
 	if err != nil {
 		return 0, false
 	}
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -157,5 +157,5 @@
 	if !ok {
 		return nil, fault.New(fault.KindUnreachable, "the address of node %s is not known", id)
 	}
-	return o.node.Ask(ctx, peer, kind, body)
+	return o.node.Control(ctx, peer, kind, body)
 }
--- a/internal/evidence/nodes.go
+++ b/internal/evidence/nodes.go
@@ -21,8 +21,7 @@
 	// Others returns the IDs of the other nodes that can be asked, and of those
 	// that are known to be unreachable.
 	Others() (reachable, unreachable []string)
-	// Ask sends a control message and returns the reply. There may be more nodes
-	// than connections.
+	// Ask sends a control message and returns the reply.
 	Ask(ctx context.Context, id, kind string, body []byte) ([]byte, error)
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -23,17 +23,12 @@
 		r.Timeout = time.Until(r.Deadline)
 	}
 	head := requestHead{From: t.ID, Call: &r, Size: len(r.Body)}
-	l, err := t.link(peer)
-	if err != nil {
-		return nil, err
-	}
-	stream, err := t.open(ctx, l)
+	l, stream, err := t.open(ctx, peer)
 	if err != nil {
 		return nil, err
 	}
 	// Only requests count as use: control messages alone, such as probes, must
 	// not keep a link open.
-	l.called.Store(true)
 	l.used.Store(time.Now().UnixNano())
 	release := func() { l.inFlight.Add(-1) }
 	stop := context.AfterFunc(ctx, func() {
@@ -101,24 +96,29 @@
 	return stream.Close()
 }
 
-// open returns a new stream on the link. Its errors are refusals: no byte of the
-// request has left, and it is not in flight any more.
-func (t *Transport) open(ctx context.Context, l *link) (*quic.Stream, error) {
+// open returns a new stream to the peer and counts it as in flight. Its errors
+// are refusals: no byte of the request has left.
+func (t *Transport) open(ctx context.Context, peer Peer) (*link, *quic.Stream, error) {
+	l, err := t.link(peer)
+	if err != nil {
+		return nil, nil, err
+	}
+	l.inFlight.Add(1)
 	conn, err := l.get(ctx, func(ctx context.Context, addr net.Addr) (*quic.Conn, error) {
 		return t.quic.Dial(ctx, addr, t.Credentials.tlsConfig(), quicConfig())
 	})
 	if err == nil {
 		var stream *quic.Stream
 		if stream, err = conn.OpenStreamSync(ctx); err == nil {
-			return stream, nil
+			return l, stream, nil
 		}
 	}
 	l.inFlight.Add(-1)
 	if ctx.Err() != nil {
-		return nil, fault.New(fault.KindDeadline, "no connection to node %s before the deadline", l.peer.ID).
+		return nil, nil, fault.New(fault.KindDeadline, "no connection to node %s before the deadline", peer.ID).
 			WithOutcome(fault.Refused)
 	}
-	return nil, fault.New(fault.KindUnreachable, "node %s cannot be reached: %v", l.peer.ID, err).
+	return nil, nil, fault.New(fault.KindUnreachable, "node %s cannot be reached: %v", peer.ID, err).
 		WithOutcome(fault.Refused).WithRemedy("retry through any node")
 }
 
@@ -136,15 +136,7 @@
 
 // Control sends a control message and returns its reply.
 func (t *Transport) Control(ctx context.Context, peer Peer, kind string, body []byte) ([]byte, error) {
-	l, err := t.link(peer)
-	if err != nil {
-		return nil, err
-	}
-	return t.control(ctx, l, peer, kind, body)
-}
-
-func (t *Transport) control(ctx context.Context, l *link, peer Peer, kind string, body []byte) ([]byte, error) {
-	stream, err := t.open(ctx, l)
+	l, stream, err := t.open(ctx, peer)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -36,13 +36,8 @@
 	dialing chan struct{}
 	// dialErr is the error of the last dial.
 	dialErr error
-	// retired means that the link is not used any more.
-	retired bool
 
 	inFlight atomic.Int32
-	// called means that the link has carried a request, not only control
-	// messages.
-	called atomic.Bool
 	// used is the time of the last request in nanoseconds of the table's clock.
 	used atomic.Int64
 
@@ -97,28 +92,9 @@
 		conn, err = dial(ctx, addr)
 	}
 	l.mu.Lock()
-	retired := l.retired
 	l.conn, l.dialErr, l.dialing = conn, err, nil
 	l.mu.Unlock()
 	close(done)
-	if retired {
-		l.close(codeIdle, "not used any more")
-	}
-}
-
-// retire closes the link for good, with the connection that is being dialed.
-func (l *link) retire(reason string) {
-	l.mu.Lock()
-	l.retired = true
-	l.mu.Unlock()
-	l.close(codeIdle, reason)
-}
-
-func (l *link) evictedBefore(other *link) bool {
-	if a, b := l.called.Load(), other.called.Load(); a != b {
-		return b
-	}
-	return l.used.Load() < other.used.Load()
 }
 
 func (l *link) current() *quic.Conn {
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -60,8 +60,6 @@
 	quic     *quic.Transport
 	listener *quic.Listener
 	streams  sync.WaitGroup
-	// asking holds the question that looks for a link.
-	asking chan struct{}
 
 	mu sync.Mutex
 	// accepted holds the open connections of other nodes.
@@ -81,7 +79,6 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on UDP %s; choose a free port", addr)
 	}
-	t.asking = make(chan struct{}, 1)
 	t.quic = &quic.Transport{Conn: socket}
 	t.listener, err = t.quic.Listen(t.Credentials.tlsConfig(), quicConfig())
 	if err != nil {
@@ -118,69 +115,47 @@
 	return t.quic.WriteTo(packet, addr)
 }
 
-// link returns the link to a peer, with one more request in flight, so that it
-// is not evicted before it is used.
 func (t *Transport) link(peer Peer) (*link, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l, err := t.known(peer)
-	if l != nil || err != nil {
-		return l, err
-	}
-	if len(t.links) >= maxLinks && !t.evictIdle() {
-		return nil, errAllBusy()
-	}
-	return t.add(peer), nil
-}
-
-func errAllBusy() error {
-	return fault.New(fault.KindUnreachable, "all %d connections to other nodes are in use", maxLinks).
-		WithOutcome(fault.Refused)
-}
-
-// known returns the link that there is to a peer, or nil.
-func (t *Transport) known(peer Peer) (*link, error) {
 	if t.closed {
 		return nil, fault.New(fault.KindStopped, "node %s is stopping", t.ID)
 	}
+	if t.links == nil {
+		t.links = make(map[string]*link)
+	}
 	l := t.links[peer.ID]
 	if l != nil && !peer.replaces(l.peer) {
 		l.peer.Incarnation = max(l.peer.Incarnation, peer.Incarnation)
-		l.inFlight.Add(1)
 		return l, nil
 	}
 	if l != nil {
 		go l.close(codeIdle, "peer moved")
 		delete(t.links, peer.ID)
 	}
-	return nil, nil
-}
-
-func (t *Transport) add(peer Peer) *link {
-	if t.links == nil {
-		t.links = make(map[string]*link)
+	if len(t.links) >= maxLinks && !t.evictIdle() {
+		return nil, fault.New(fault.KindUnreachable, "all %d connections to other nodes are in use", maxLinks).
+			WithOutcome(fault.Refused)
 	}
-	l := &link{peer: peer}
+	l = &link{peer: peer}
 	l.used.Store(time.Now().UnixNano())
-	l.inFlight.Add(1)
 	t.links[peer.ID] = l
-	return l
+	return l, nil
 }
 
 // evictIdle closes the least recently used link without requests in flight.
-// Links that carried control messages only go first.
 func (t *Transport) evictIdle() bool {
-	var first *link
+	var oldest *link
 	for _, l := range t.links {
-		if l.inFlight.Load() == 0 && (first == nil || l.evictedBefore(first)) {
-			first = l
+		if l.inFlight.Load() == 0 && (oldest == nil || l.used.Load() < oldest.used.Load()) {
+			oldest = l
 		}
 	}
-	if first == nil {
+	if oldest == nil {
 		return false
 	}
-	delete(t.links, first.peer.ID)
-	go first.retire("evicted")
+	delete(t.links, oldest.peer.ID)
+	go oldest.close(codeIdle, "evicted")
 	return true
 }
 
@@ -202,14 +177,11 @@
 
 func (t *Transport) drop(l *link) {
 	t.mu.Lock()
-	idle := l.inFlight.Load() == 0
-	if idle && t.links[l.peer.ID] == l {
+	if t.links[l.peer.ID] == l && l.inFlight.Load() == 0 {
 		delete(t.links, l.peer.ID)
 	}
 	t.mu.Unlock()
-	if idle {
-		l.retire("idle")
-	}
+	l.close(codeIdle, "idle")
 }
 
 func (t *Transport) snapshot() []*link {
