--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -51,7 +51,6 @@
 	if err != nil {
 		return fail(err)
 	}
-	daemon.LimitMemory(s.Memory.Growth, int64(s.Memory.Limit))
 	credentials := &node.Credentials{}
 	if err := loadCredentials(credentials, s.TLS); err != nil {
 		return fail(err)
--- a/internal/daemon/from_settings.go
+++ b/internal/daemon/from_settings.go
@@ -21,6 +21,6 @@
 		StoreTimeout: time.Duration(s.Store.Timeout), First: s.Node.First,
 		ServerBudget: &budget.Rate{Messages: s.Budget.Server.Messages, Bytes: int64(s.Budget.Server.Bytes)},
 		LinkBudget:   &budget.Rate{Messages: s.Budget.Link.Messages, Bytes: int64(s.Budget.Link.Bytes)},
-		MaxBody:      int(s.Body), Notice: time.Duration(s.Notice), Log: logger,
+		MaxBody:      int(s.Body), Notice: time.Duration(s.Notice), Growth: s.Memory.Growth, Log: logger,
 	}
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -36,6 +36,7 @@
 	announce  http1.Server
 	operators operators
 	observed  observation
+	collector collector
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -59,6 +60,7 @@
 	if err := n.members.start(ctx, &n.peers, n.advertised(), &n.limits); err != nil {
 		return err
 	}
+	n.collector.start(n.Growth, time.Now())
 	n.shards.start(n.members.protocol.Own().Ref)
 	n.done.Add(2)
 	go n.tickLoop(ctx)
@@ -180,6 +182,7 @@
 				joined = true
 				n.far.crash.join(ctx)
 			}
+			n.collector.follow(time.Now())
 			n.config.follow(ctx, time.Now())
 			if err := n.members.announcer.Refresh(ctx, time.Now()); err != nil {
 				n.Log.WithError(err).WithField("node", n.ID).Debug("member row not refreshed")
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -43,6 +43,9 @@
 	MaxBody int
 	// Notice is how long a stopping node goes on accepting requests.
 	Notice time.Duration
+	// Growth is the least share in percent by which the heap may grow between
+	// two collections; zero leaves the collector of the process alone.
+	Growth int
 	// Log is never nil.
 	Log log.Interface
 }
--- a/internal/node/accepted.go
+++ b/internal/node/accepted.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// maxAccepted bounds the memory of connections that other nodes opened.
-	maxAccepted = 128
+	// maxAccepted bounds the memory of connections that other nodes opened. Nodes
+	// use 80 servers at most (routing.Config.Total), so that 80 connections come
+	// in on average with a standard deviation of 9.
+	maxAccepted = 112
 	// settled is how long a connection must be without requests before it may
 	// be closed for another one: its last answer may still be on the way.
 	settled = time.Second
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,8 +75,7 @@
 
 // Memory sets the garbage collector of the process.
 type Memory struct {
-	Growth int  `yaml:"growth" validate:"min=5,max=400" usage:"percent by which the heap may grow between two collections, 5 to 400"`
-	Limit  Size `yaml:"limit" validate:"min=16777216" usage:"bytes of the Go runtime, of which about 6MB are never touched, from which it collects more often, at least 16MB; soft, and costly when the state of the node needs more"`
+	Growth int `yaml:"growth" validate:"min=5,max=400" usage:"least percent by which the heap may grow between two collections, 5 to 400; it grows more while the collector takes over 25 % of a core"`
 }
 
 // Log says what is logged.
@@ -94,7 +93,7 @@
 			Server: Rate{Messages: 20, Bytes: 4 << 10},
 			Link:   Rate{Messages: 20, Bytes: 1 << 10},
 		},
-		Memory: Memory{Growth: 10, Limit: 40 << 20},
+		Memory: Memory{Growth: 10},
 		Log:    Log{Level: "info"},
 	}
 }
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -25,7 +25,7 @@
 	// default is 48.
 	Subset int
 	// Total is the largest number of servers used over all services that had a
-	// request in the last minute, which share it evenly; the default is 96. It
+	// request in the last minute, which share it evenly; the default is 80. It
 	// bounds the connections to other nodes.
 	Total int
 	// Probe is the age of the newest load from which a server that is used is
@@ -53,7 +53,7 @@
 		c.Subset = 48
 	}
 	if c.Total <= 0 {
-		c.Total = 96
+		c.Total = 80
 	}
 	return c
 }
