--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -37,6 +37,7 @@
 	announce  http1.Server
 	operators operators
 	observed  observation
+	collector collector
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -60,6 +61,7 @@
 	if err := n.members.start(ctx, &n.peers, n.advertised(), &n.limits); err != nil {
 		return err
 	}
+	n.collector.start(n.Growth, time.Now())
 	n.shards.start(n.members.protocol.Own().Ref)
 	n.done.Add(3)
 	go n.tickLoop(ctx)
@@ -172,11 +174,12 @@
 // followLoop asks other nodes for what they know. It never waits for the store.
 func (n *Node) followLoop(ctx context.Context) {
 	joined := false
-	n.every(ctx, func(time.Time) {
+	n.every(ctx, func(now time.Time) {
 		if !joined && n.members.protocol.Table().Len() > 1 {
 			joined = true
 			n.far.crash.join(ctx)
 		}
+		n.collector.follow(now)
 		n.config.learn(ctx)
 	})
 }
