Hedge in the node by the experiment's rule, with the values of the service

In the node retry.ratio, hedge.ratio and hedge.after acted only as switches.

Change: retry.Hedger has the experiment's rule: requests to suspect servers are hedged after the quantile hedge.after, others after the slowest two fifths beyond it (p95 and p98), and a reserve is kept for the first. It keeps a budget for each service and two quantiles for each service and class in place of windows of 64 KB, and starts them from the first 100 answers. The node learns from whole idempotent requests over all attempts, as the experiment does, and no longer from each attempt. The experiment's copy is gone; it uses retry.Hedger, retry.Attempts and retry.Budget for each entry. A service with a retry.ratio of its own has a budget of its own; the others share one, because at few calls a service alone would earn less than a retry before it lapses.

TestHedgesStayWithinTwoPercent checks the same as before against the new methods; TestHedgesToSuspectServersFirst is new.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -11,6 +11,7 @@
 	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 )
 
 const (
@@ -89,18 +90,14 @@
 }
 
 // Retries implements limits.
-func (c *configuration) Retries(service string) int {
-	limit, ratio := c.Current().Document.Services[service].RetryLimit()
-	if ratio == 0 {
-		return 0
-	}
-	return limit
+func (c *configuration) Retries(service string) (limit int, ratio float64) {
+	return c.Current().Document.Services[service].RetryLimit()
 }
 
-// Hedged implements limits.
-func (c *configuration) Hedged(service string) bool {
-	ratio, _ := c.Current().Document.Services[service].HedgeLimit()
-	return ratio > 0
+// Hedges implements limits.
+func (c *configuration) Hedges(service string) retry.HedgeRule {
+	ratio, after := c.Current().Document.Services[service].HedgeLimit()
+	return retry.HedgeRule{Ratio: ratio, After: after}
 }
 
 // configPeers reaches the configuration of other nodes.
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -34,17 +34,30 @@
 
 // run returns the answer, or an error whose outcome holds for all attempts.
 func (d *dispatch) run(ctx context.Context) (*call.Answer, error) {
+	start := time.Now()
 	answer, err := d.try(ctx)
 	if err == nil {
+		d.learn(start)
 		return answer, nil
 	}
 	f := fault.As(err)
 	if f.Outcome == fault.Refused && d.ran.Load() {
-		return nil, f.WithOutcome(fault.Unknown)
+		f = f.WithOutcome(fault.Unknown)
+	}
+	if f.Outcome != fault.Refused && ctx.Err() == nil {
+		d.learn(start)
 	}
 	return nil, f
 }
 
+// learn records the latency over all attempts. What was refused or given up by
+// the caller tells nothing about it.
+func (d *dispatch) learn(start time.Time) {
+	if d.request.Idempotent {
+		d.hedger.Observe(d.request.Service, d.request.Class, time.Since(start))
+	}
+}
+
 func (d *dispatch) try(ctx context.Context) (*call.Answer, error) {
 	action := evidence.Place
 	for {
@@ -68,12 +81,15 @@
 // attempt sends the request once; the first send of an idempotent request may
 // get a second one beside it.
 func (d *dispatch) attempt(ctx context.Context, action evidence.Action) result {
-	if action == evidence.Place && d.request.Idempotent && d.limits.Hedged(d.request.Service) {
-		if delay, ok := d.hedger.Delay(d.request.Class, time.Now()); ok {
-			return d.hedged(ctx, delay)
-		}
+	if action != evidence.Place {
+		return d.send(ctx, action)
+	}
+	r := &d.request
+	delays, ok := d.hedger.Delays(r.Service, r.Class, d.limits.Hedges(r.Service))
+	if !ok || !r.Idempotent {
+		return d.send(ctx, action)
 	}
-	return d.send(ctx, action)
+	return d.hedged(ctx, delays)
 }
 
 // send places and sends the request once.
@@ -103,20 +119,14 @@
 }
 
 // hedged sends the request, and a second time when no answer has come after
-// the delay. The first good answer wins and the other attempt is cancelled.
-func (d *dispatch) hedged(ctx context.Context, delay time.Duration) result {
+// one of the delays. The first good answer wins and the other attempt is
+// cancelled.
+func (d *dispatch) hedged(ctx context.Context, delays retry.HedgeDelays) result {
 	results := make(chan result, 2)
 	first, cancelFirst := context.WithCancel(ctx)
 	go func() { results <- d.send(first, evidence.Place) }()
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case res := <-results:
+	if res, ok := d.await(results, delays); ok {
 		return res.ending(cancelFirst)
-	case <-timer.C:
-	}
-	if d.crash.suspect(d.request) || !d.attempts.Hedge(&d.hedger, d.request.Idempotent, time.Now()) {
-		return (<-results).ending(cancelFirst)
 	}
 	second, cancelSecond := context.WithCancel(ctx)
 	go func() { results <- d.send(second, evidence.Hedge) }()
@@ -139,6 +149,36 @@
 	return res.ending(cancelSecond)
 }
 
+// await returns the result of the first attempt, or false when a second one may
+// run beside it.
+func (d *dispatch) await(results <-chan result, delays retry.HedgeDelays) (result, bool) {
+	start := time.Now()
+	for turn, delay := range delays {
+		timer := time.NewTimer(delay - time.Since(start))
+		select {
+		case res := <-results:
+			timer.Stop()
+			return res, true
+		case <-timer.C:
+		}
+		if d.mayHedge(turn, time.Now()) {
+			return result{}, false
+		}
+	}
+	return <-results, true
+}
+
+func (d *dispatch) mayHedge(turn int, now time.Time) bool {
+	tried := d.attempts.Tried(nil)
+	if len(tried) == 0 || d.crash.suspect(d.request) {
+		return false
+	}
+	return d.attempts.Hedge(&d.hedger, retry.HedgeCall{
+		Service: d.request.Service, Idempotent: d.request.Idempotent, Turn: turn,
+		Suspect: d.routes.Suspect(d.request.Service, tried[0], now),
+	}, now)
+}
+
 // ending returns the result with a further call when its answer was read.
 func (r result) ending(cancel context.CancelFunc) result {
 	if r.answer == nil {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -30,10 +30,10 @@
 
 // limits are what the configuration allows for a service.
 type limits interface {
-	// Retries bounds the retries of one request.
-	Retries(service string) int
-	// Hedged reports whether requests may have a second copy.
-	Hedged(service string) bool
+	// Retries bounds the retries of one request and their share of all calls.
+	Retries(service string) (limit int, ratio float64)
+	// Hedges bounds the second copies of requests.
+	Hedges(service string) retry.HedgeRule
 }
 
 // entry places requests on backend servers and retries them where that is
@@ -88,11 +88,12 @@
 		}
 		return a, func(left retry.Allowance) { e.ledger.Return(r.Parent, left) }
 	}
-	granted := e.retries.Grant(r.Deadline, now)
+	limit, ratio := e.limits.Retries(r.Service)
+	granted := e.retries.Grant(r.Service, ratio, r.Deadline, now)
 	// What the service may not use goes back with the rest.
-	kept := uint8(max(0, int(granted.Retries)-e.limits.Retries(r.Service)))
+	kept := uint8(max(0, int(granted.Retries)-limit))
 	return granted.WithRetries(granted.Retries - kept), func(left retry.Allowance) {
-		e.retries.Put(left.WithRetries(left.Retries + kept))
+		e.retries.Put(r.Service, ratio, left.WithRetries(left.Retries+kept))
 	}
 }
 
@@ -130,7 +131,6 @@
 		return nil, err
 	}
 	e.routes.Observe(r.Service, a.choice.ID, routingLoad(answer.Load, 0), time.Now())
-	e.hedger.Observe(r.Class, took, time.Now())
 	outcome := routing.Answered
 	if answer.Status >= http.StatusInternalServerError {
 		outcome = routing.Failed
--- a/internal/experiment/request.go
+++ b/internal/experiment/request.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/routing"
 )
 
@@ -30,8 +31,8 @@
 	open []*attempt
 	// tried holds the servers of all attempts; none is used twice.
 	tried []int
-	// retried and handed bound a request to one retry and one hand-over.
-	retried, handed bool
+	// attempts has the rules for further ones.
+	attempts retry.Attempts
 }
 
 // attempt is one try of a request at one server.
@@ -42,9 +43,11 @@
 	work   time.Duration // left at normal speed as of resumed
 	delay  time.Duration
 	hedge  bool
-	closed bool // the entry knows the end
-	ended  bool // the far node sent the end
-	gen    int  // the current completion event
+	closed bool  // the entry knows the end
+	ended  bool  // the far node sent the end
+	whole  bool  // the end is an answer of the server, not an error of the system
+	lent   uint8 // retries sent along
+	gen    int   // the current completion event
 
 	started, resumed time.Duration
 }
@@ -62,6 +65,11 @@
 		return false
 	}
 	a := &attempt{r: r, s: w.servers[i], sent: w.now, hedge: hedge, work: r.work}
+	lent, ok := r.attempts.Send(a.s.ID)
+	if !ok {
+		panic("sent without permission")
+	}
+	a.lent = lent.Retries
 	if len(r.tried) > 0 {
 		// Another server's run time is independent of the first one's; it
 		// depends only on request and try, not on the policy.
@@ -106,6 +114,7 @@
 		return
 	}
 	a.ended = true
+	a.whole = o == routing.Answered || a.s.mode == failing
 	w := a.r.w
 	if w.cut(a.r.entry, a.s.index) {
 		a.lose()
@@ -145,7 +154,7 @@
 	if o != routing.Answered || r.done {
 		w.wasted++
 	}
-	r.ended(o)
+	r.ended(a, o)
 }
 
 func (r *request) remove(a *attempt) {
@@ -157,24 +166,26 @@
 	}
 }
 
+// causes are those of pkg/retry; crashes and failing servers give Failed.
+var causes = map[routing.Outcome]retry.Cause{
+	routing.Refused: retry.Overloaded,
+	routing.Failed:  retry.Failed,
+	routing.Lost:    retry.Lost,
+}
+
 // ended decides what follows the end of an attempt.
-func (r *request) ended(o routing.Outcome) {
+func (r *request) ended(a *attempt, o routing.Outcome) {
+	if a.whole {
+		r.attempts.Answer(a.s.ID, a.lent)
+	}
 	switch {
 	case r.done:
 		return
 	case o == routing.Answered:
 		r.finish(o)
 		return
-	case o == routing.Refused && !r.handed:
-		r.handed = true
-		if r.send(false) {
-			return
-		}
-	case (o == routing.Failed || o == routing.Lost) && r.idempotent && !r.retried:
-		r.retried = true
-		if r.send(false) {
-			return
-		}
+	case r.attempts.Retry(&r.w.limits[r.entry].retries, r.idempotent, causes[o], r.w.time()) && r.send(false):
+		return
 	}
 	if len(r.open) == 0 {
 		r.finish(o)
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/routing"
 )
 
@@ -40,7 +41,8 @@
 	servers []*server
 	policy  policy
 	meter   *meter
-	hedger  *hedger
+	// limits holds those of each entry.
+	limits []limits
 	// arrivals draws arrivals and run times, faults the plan of the case; the
 	// streams are the same for every policy.
 	arrivals, faults *rand.Rand
@@ -93,7 +95,7 @@
 		w.dead = append(w.dead, make([]bool, w.dep.Servers))
 	}
 	w.meter = newMeter(w)
-	w.hedger = newHedger(w)
+	w.limits = make([]limits, w.dep.Servers)
 	w.policy = policies[o.Policy](w)
 	return w
 }
@@ -115,11 +117,12 @@
 	w.next++
 	w.requests++
 	w.watch(r)
+	r.attempts.Start(w.limits[r.entry].retries.Grant(service, retry.DefaultRatio, w.time().Add(deadline), w.time()))
 	if !r.send(false) {
 		r.finish(routing.Refused)
 		return
 	}
-	w.hedger.watch(r)
+	r.watch()
 }
 
 // watch gives the request up at its deadline.
@@ -171,7 +174,11 @@
 // record counts a finished request that arrived in the measured time.
 func (w *world) record(r *request, o routing.Outcome) {
 	latency := w.now - r.arrived
-	w.hedger.learn(r, latency)
+	l := &w.limits[r.entry]
+	l.retries.Put(service, retry.DefaultRatio, r.attempts.Left())
+	if r.idempotent && o != routing.Refused {
+		l.hedger.Observe(service, class, latency)
+	}
 	if r.arrived < warmUp {
 		return
 	}
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -7,14 +7,16 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/vanillasail/vanillasail/pkg/retry"
 )
 
 // Values that apply where a document is silent.
 const (
 	DefaultRetries    = 2
-	DefaultRetryRatio = 0.1  // design goal: load amplified by at most 1.1
-	DefaultHedgeRatio = 0.02 // design goal: at most 2 % extra load
-	DefaultHedgeAfter = 0.95
+	DefaultRetryRatio = retry.DefaultRatio
+	DefaultHedgeRatio = retry.DefaultHedgeRatio
+	DefaultHedgeAfter = retry.DefaultHedgeAfter
 	DefaultQueue      = 64
 	DefaultTimeout    = 5 * time.Second
 	// LongestTimeout bounds every request, because a planned stop waits for
--- a/pkg/retry/attempts.go
+++ b/pkg/retry/attempts.go
@@ -81,10 +81,10 @@
 
 // Hedge decides whether a second attempt may run beside the first. Only the
 // first attempt of an idempotent request is hedged.
-func (t *Attempts) Hedge(h *Hedger, idempotent bool, now time.Time) bool {
+func (t *Attempts) Hedge(h *Hedger, c HedgeCall, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !idempotent || t.n != 1 || t.permitted > 0 || t.kept.Retries == 0 || t.kept.expired(now) || !h.take() {
+	if !c.Idempotent || t.n != 1 || t.permitted > 0 || t.kept.Retries == 0 || t.kept.expired(now) || !h.take(c) {
 		return false
 	}
 	t.kept.Retries--
--- a/pkg/retry/bench_test.go
+++ b/pkg/retry/bench_test.go
@@ -10,7 +10,7 @@
 	var budget Budget
 	b.ReportAllocs()
 	for b.Loop() {
-		budget.Put(budget.Grant(start, start))
+		budget.Put("stock", DefaultRatio, budget.Grant("stock", DefaultRatio, start, start))
 	}
 }
 
@@ -43,12 +43,11 @@
 
 func BenchmarkHedger(b *testing.B) {
 	var h Hedger
-	now := start
+	rule := HedgeRule{DefaultHedgeRatio, DefaultHedgeAfter}
 	b.ReportAllocs()
 	for b.Loop() {
-		now = now.Add(time.Millisecond)
-		h.Delay("lookup", now)
-		h.Observe("lookup", 10*time.Millisecond, now)
+		h.Delays("stock", "lookup", rule)
+		h.Observe("stock", "lookup", 10*time.Millisecond)
 	}
 }
 
@@ -56,6 +55,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		var h Hedger
-		h.Observe("lookup", time.Millisecond, start)
+		h.Observe("stock", "lookup", time.Millisecond)
 	}
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -3,15 +3,16 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// share is the part of a retry that each first call earns, in thousandths.
-	// It bounds the load on every hop to 1.1 times the load without retries: a
-	// retry at any hop repeats at most the whole chain below it once.
-	share = 100
+	// DefaultRatio is the part of a retry that each first call earns. It bounds
+	// the load on every hop to 1.1 times the load without retries: a retry at
+	// any hop repeats at most the whole chain below it once.
+	DefaultRatio = 0.1
 	// grant is the most that one chain gets: one retry that travels, and one
 	// that stays at the first entry for a lost answer or a hedge.
 	grant = 2
@@ -19,10 +20,15 @@
 
 // Budget is kept by the node at the first entry of a chain of calls. The zero
 // value works.
+//
+// A service with a ratio of its own has a bucket of its own. All others share
+// one, since a service with few calls alone would earn less than one retry
+// before it lapses.
 type Budget struct {
-	mu     sync.Mutex
-	bucket bucket
-	stats  Stats
+	mu       sync.Mutex
+	shared   bucket
+	services map[string]*bucket
+	stats    Stats
 }
 
 // Stats counts the decisions of a Budget.
@@ -33,27 +39,43 @@
 	Denied  uint64
 }
 
-// Grant counts one first call and returns its allowance. All allowances
-// together are at most 10 % of the calls counted. What Put gave back can be
-// granted again, so while few calls fail nearly all of them get an allowance.
-func (b *Budget) Grant(deadline, now time.Time) Allowance {
+// Grant counts one first call to the service and returns its allowance. All
+// allowances together are at most the ratio of the calls counted. What Put gave
+// back can be granted again, so while few calls fail nearly all of them get an
+// allowance.
+func (b *Budget) Grant(service string, ratio float64, deadline, now time.Time) Allowance {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bucket.earn(share, now)
-	n := b.bucket.take(grant)
+	tokens := b.bucket(service, ratio)
+	tokens.earn(int64(math.Round(ratio*whole)), now)
+	n := int64(0)
+	if ratio > 0 {
+		n = tokens.take(grant)
+	}
 	b.stats.Calls++
 	b.stats.Granted += uint64(n)
 	return Allowance{Retries: uint8(n), Deadline: deadline}
 }
 
 // Put takes back what is left of an allowance when its chain has ended at the
-// first entry. It must not be called twice for one grant.
-func (b *Budget) Put(a Allowance) {
+// first entry; service and ratio are those of the grant. It must not be called
+// twice for one grant.
+func (b *Budget) Put(service string, ratio float64, a Allowance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := min(int64(a.Retries), grant)
 	b.stats.Granted -= min(uint64(n), b.stats.Granted)
-	b.bucket.put(n)
+	b.bucket(service, ratio).put(n)
+}
+
+func (b *Budget) bucket(service string, ratio float64) *bucket {
+	if ratio == DefaultRatio {
+		return &b.shared
+	}
+	if b.services == nil {
+		b.services = make(map[string]*bucket)
+	}
+	return bounded(b.services, service, maxServices, func() *bucket { return &bucket{} })
 }
 
 // Spend takes one retry from the allowance if the rules permit one: the
--- a/pkg/retry/chain_test.go
+++ b/pkg/retry/chain_test.go
@@ -25,8 +25,8 @@
 // enter makes one call at the first entry, and returns the load that it would
 // put on the last hop without retries.
 func (c *chain) enter() int {
-	a := c.budget.Grant(c.now.Add(time.Minute), c.now)
-	c.budget.Put(a.WithRetries(c.call(0, a)))
+	a := c.budget.Grant("stock", DefaultRatio, c.now.Add(time.Minute), c.now)
+	c.budget.Put("stock", DefaultRatio, a.WithRetries(c.call(0, a)))
 	c.now = c.now.Add(time.Millisecond)
 	base := 1
 	for _, n := range c.fanOut {
--- a/pkg/retry/example_test.go
+++ b/pkg/retry/example_test.go
@@ -11,10 +11,10 @@
 	var budget retry.Budget
 	now := time.Now()
 	for range 9 {
-		budget.Grant(now.Add(time.Second), now)
+		budget.Grant("stock", retry.DefaultRatio, now.Add(time.Second), now)
 	}
 	var attempts retry.Attempts
-	attempts.Start(budget.Grant(now.Add(time.Second), now))
+	attempts.Start(budget.Grant("stock", retry.DefaultRatio, now.Add(time.Second), now))
 
 	lent, _ := attempts.Send("stock-1")
 	fmt.Println("sent along:", lent.Retries)
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -95,33 +95,55 @@
 func TestUnusedTokensLapse(t *testing.T) {
 	var b Budget
 	for range 1000 {
-		b.Put(b.Grant(time.Time{}, start))
+		b.Put("stock", DefaultRatio, b.Grant("stock", DefaultRatio, time.Time{}, start))
 	}
-	assert.Equal(t, b.Grant(time.Time{}, start.Add(lapse)).Retries, uint8(grant))
-	assert.Equal(t, b.Grant(time.Time{}, start.Add(3*lapse)).Retries, uint8(0))
+	assert.Equal(t, b.Grant("stock", DefaultRatio, time.Time{}, start.Add(lapse)).Retries, uint8(grant))
+	assert.Equal(t, b.Grant("stock", DefaultRatio, time.Time{}, start.Add(3*lapse)).Retries, uint8(0))
 }
 
 // Guards against hedges that add more than 2 % load, come before the p95, or
 // run a request twice that is not idempotent.
 func TestHedgesStayWithinTwoPercent(t *testing.T) {
 	var h Hedger
+	rule := HedgeRule{DefaultHedgeRatio, DefaultHedgeAfter}
+	late := HedgeCall{Service: "stock", Idempotent: true, Suspect: true}
 	hedges := 0
 	for i := range 10_000 {
-		now := start.Add(time.Duration(i) * time.Millisecond)
-		delay, ok := h.Delay("lookup", now)
-		assert.Equal(t, ok, i >= minSamples && delay > 0)
-		assert.Assert(t, !ok || delay > 9*time.Millisecond && delay < 11*time.Millisecond, "%v", delay)
-		h.Observe("lookup", map[bool]time.Duration{true: time.Second, false: 10 * time.Millisecond}[i%25 == 24], now)
+		delays, ok := h.Delays("stock", "lookup", rule)
+		assert.Equal(t, ok, i >= minSamples && delays[0] > 0)
+		assert.Assert(t, !ok || delays[0] > 9*time.Millisecond && delays[0] < 11*time.Millisecond, "%v", delays)
+		h.Observe("stock", "lookup", map[bool]time.Duration{true: time.Second, false: 10 * time.Millisecond}[i%25 == 24])
 		tries := started(2)
 		tries.Send("a")
-		assert.Assert(t, !tries.Hedge(&h, false, now))
-		if tries.Hedge(&h, true, now) {
+		assert.Assert(t, !tries.Hedge(&h, HedgeCall{Service: "stock", Suspect: true}, start))
+		if tries.Hedge(&h, late, start) {
 			hedges++
 		}
 	}
 	assert.Assert(t, hedges <= 200 && hedges > 190, "%d hedges", hedges)
 }
 
+// Guards against a budget that requests to ordinary servers spend before those
+// to suspect servers can, and against an early hedge without a suspicion.
+func TestHedgesToSuspectServersFirst(t *testing.T) {
+	var h Hedger
+	for range 10_000 {
+		h.Delays("stock", "lookup", HedgeRule{DefaultHedgeRatio, DefaultHedgeAfter})
+	}
+	spend := func(c HedgeCall) (n int) {
+		for c.Service, c.Idempotent = "stock", true; ; n++ {
+			tries := started(2)
+			tries.Send("a")
+			if !tries.Hedge(&h, c, start) {
+				return n
+			}
+		}
+	}
+	assert.Equal(t, spend(HedgeCall{}), 0)
+	assert.Equal(t, spend(HedgeCall{Turn: 1}), hedgeBurst-hedgeReserve)
+	assert.Equal(t, spend(HedgeCall{Suspect: true}), hedgeReserve)
+}
+
 // Guards against a budget that is spent on calls that do not fail, so that the
 // few that do have no retry.
 func TestMostFailedCallsHaveARetry(t *testing.T) {
@@ -130,7 +152,7 @@
 	var inFlight []Allowance
 	for i := range 20_000 {
 		now := start.Add(time.Duration(i) * 8 * time.Millisecond)
-		inFlight = append(inFlight, b.Grant(start.Add(time.Hour), now))
+		inFlight = append(inFlight, b.Grant("stock", DefaultRatio, start.Add(time.Hour), now))
 		if len(inFlight) <= 20 {
 			continue
 		}
@@ -142,7 +164,7 @@
 				a, retried = left, retried+1
 			}
 		}
-		b.Put(a)
+		b.Put("stock", DefaultRatio, a)
 	}
 	assert.Assert(t, retried*100 >= failed*95, "%d of %d retried", retried, failed)
 }
@@ -157,20 +179,20 @@
 	var group sync.WaitGroup
 	for caller := range 50 {
 		group.Go(func() {
-			b.Put(b.Grant(start, start))
+			b.Put("stock", DefaultRatio, b.Grant("stock", DefaultRatio, start, start))
 			a, _ := l.Borrow("id")
 			l.Return("id", a)
-			h.Delay("lookup", start)
-			h.Observe("lookup", time.Millisecond, start)
+			h.Delays("stock", "lookup", HedgeRule{DefaultHedgeRatio, DefaultHedgeAfter})
+			h.Observe("stock", "lookup", time.Millisecond)
 			if tries.Retry(&b, true, Failed, start) {
 				tries.Send(string(rune('a' + caller)))
 			}
-			tries.Hedge(&h, true, start)
+			tries.Hedge(&h, HedgeCall{Service: "stock", Idempotent: true, Suspect: true}, start)
 		})
 	}
 	group.Wait()
 	assert.Equal(t, l.Close("id"), uint8(5))
-	assert.Equal(t, b.Grant(start, start).Retries, uint8(grant))
+	assert.Equal(t, b.Grant("stock", DefaultRatio, start, start).Retries, uint8(grant))
 	assert.Assert(t, len(tries.Tried(nil)) <= MaxAttempts)
 }
 
