Place on the exact load of the server beside the node

The entry knew its own server only from the last answer, and a server that has just become slow answers less often.

Change: before each decision the node takes in the load of the server beside it, which it counts itself and which costs no message. The same in the experiment.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -23,6 +23,12 @@
 	Call(ctx context.Context, peer node.Peer, r call.Request) (*call.Answer, error)
 }
 
+// localLoad tells the load of the backend server beside this node; it is false
+// without a running server of the service.
+type localLoad interface {
+	loadOf(service string) (call.Load, bool)
+}
+
 // suspects tells which requests may have crashed a backend server.
 type suspects interface {
 	suspect(r call.Request) bool
@@ -45,6 +51,7 @@
 	peers   directory
 	forward forwarder
 	local   call.Server
+	beside  localLoad
 	crash   suspects
 	limits  limits
 	// retries, ledger and hedger bound what this node adds to the load.
@@ -100,6 +107,11 @@
 // choose picks a server that has had no attempt yet.
 func (e *entry) choose(r call.Request, tried []string, action evidence.Action) (attempt, bool) {
 	now := time.Now()
+	// The load of the server beside this node is known exactly at no cost; the
+	// one on its last answer is late when the server has just become slow.
+	if load, ok := e.beside.loadOf(r.Service); ok {
+		e.routes.Observe(r.Service, e.ID, routingLoad(load, 0), now)
+	}
 	choice, ok := e.routes.Pick(routing.Request{
 		Service: r.Service, Class: r.Class, Tenant: r.Tenant, Exclude: tried, Idempotent: r.Idempotent,
 	}, now)
--- a/internal/daemon/far.go
+++ b/internal/daemon/far.go
@@ -98,6 +98,14 @@
 	return load
 }
 
+// loadOf implements localLoad.
+func (f *far) loadOf(service string) (call.Load, bool) {
+	if server := f.local.get(); server.Addr == "" || server.Service != service {
+		return call.Load{}, false
+	}
+	return f.load(), true
+}
+
 // failed tells a crash of the server from the failure of one request. The
 // callers of all requests that were in flight learn of a crash only after the
 // other nodes have had the chance to.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -77,7 +77,7 @@
 	n.members.common, n.members.routes = shared, &n.routes
 	n.config.common, n.config.members, n.config.node = shared, &n.members, &n.peers
 	n.config.start()
-	n.entry = entry{common: shared, journal: journal{&n.observed}, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, crash: &n.far.crash, limits: &n.config}
+	n.entry = entry{common: shared, journal: journal{&n.observed}, routes: &n.routes, peers: &n.members, forward: &n.peers, local: &n.far, beside: &n.far, crash: &n.far.crash, limits: &n.config}
 	n.far.ledger = &n.entry.ledger
 	n.peers.ID, n.peers.MaxBody, n.peers.Credentials = n.ID, n.MaxBody, n.Credentials
 	n.peers.Calls = peerCalls{shards: &n.shards, far: &n.far}
--- a/internal/experiment/tables.go
+++ b/internal/experiment/tables.go
@@ -49,6 +49,7 @@
 		}
 	}
 	q := routing.Request{Service: service, Exclude: p.exclude, Idempotent: r.idempotent, Key: r.id}
+	p.observeOwn(r.entry)
 	c, ok := p.of[r.entry].Pick(q, p.w.time())
 	if !ok {
 		return -1
@@ -56,6 +57,14 @@
 	return p.index[c.ID]
 }
 
+// observeOwn takes in the load of the server beside the entry, which costs no
+// message.
+func (p *tables) observeOwn(entry int) {
+	if s := p.w.servers[entry]; s.mode == up {
+		p.of[entry].Observe(service, s.ID, s.load(), p.w.time())
+	}
+}
+
 func (p *tables) done(entry, i int, o routing.Outcome, latency time.Duration) {
 	p.of[entry].Done(service, p.w.servers[i].ID, o, latency, p.w.time())
 }
--- a/pkg/retry/hedger.go
+++ b/pkg/retry/hedger.go
@@ -21,7 +21,7 @@
 	lateShare = 0.4
 	// hedgeBurst bounds the saved budget, in requests; hedgeReserve is kept
 	// for requests to suspect servers.
-	hedgeBurst, hedgeReserve = 20, 5
+	hedgeBurst, hedgeReserve = 20, 10
 	// hedgeStep is the relative step of the quantiles' estimates: with 0.02 their
 	// noise spends more of the budget on requests that are not late.
 	hedgeStep = 0.01
