--- a/internal/capacity/target_test.go
+++ b/internal/capacity/target_test.go
@@ -149,8 +149,11 @@
 		limits.Allow(budget.Probe, 100, now, budget.Server(nodeID(i)))
 	}
 	var hedger retry.Hedger
-	for i := range targetClasses {
-		hedger.Observe(fmt.Sprint("class", i), time.Millisecond, now)
+	for i := range 23 * 16 {
+		service, class := fmt.Sprint("service", i/16), fmt.Sprint("class", i%16)
+		for range 99 { // an answer more, and the estimates need less memory
+			hedger.Observe(service, class, time.Millisecond)
+		}
 	}
 	return []any{records, table, &peers, &limits, &hedger, targetHistory(now, &limits)}
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -23,6 +23,12 @@
 	Call(ctx context.Context, peer node.Peer, r call.Request) (*call.Answer, error)
 }
 
+// localLoad tells the load of the backend server beside this node; it is false
+// without a running server of the service.
+type localLoad interface {
+	loadOf(service string) (call.Load, bool)
+}
+
 // suspects tells which requests may have crashed a backend server.
 type suspects interface {
 	suspect(r call.Request) bool
@@ -30,10 +36,10 @@
 
 // limits are what the configuration allows for a service.
 type limits interface {
-	// Retries bounds the retries of one request.
-	Retries(service string) int
-	// Hedged reports whether requests may have a second copy.
-	Hedged(service string) bool
+	// Retries bounds the retries of one request and their share of all calls.
+	Retries(service string) (limit int, ratio float64)
+	// Hedges bounds the second copies of requests.
+	Hedges(service string) retry.HedgeRule
 }
 
 // entry places requests on backend servers and retries them where that is
@@ -45,6 +51,7 @@
 	peers   directory
 	forward forwarder
 	local   call.Server
+	beside  localLoad
 	crash   suspects
 	limits  limits
 	// retries, ledger and hedger bound what this node adds to the load.
@@ -88,17 +95,23 @@
 		}
 		return a, func(left retry.Allowance) { e.ledger.Return(r.Parent, left) }
 	}
-	granted := e.retries.Grant(r.Deadline, now)
+	limit, ratio := e.limits.Retries(r.Service)
+	granted := e.retries.Grant(r.Service, ratio, r.Deadline, now)
 	// What the service may not use goes back with the rest.
-	kept := uint8(max(0, int(granted.Retries)-e.limits.Retries(r.Service)))
+	kept := uint8(max(0, int(granted.Retries)-limit))
 	return granted.WithRetries(granted.Retries - kept), func(left retry.Allowance) {
-		e.retries.Put(left.WithRetries(left.Retries + kept))
+		e.retries.Put(r.Service, ratio, left.WithRetries(left.Retries+kept))
 	}
 }
 
 // choose picks a server that has had no attempt yet.
 func (e *entry) choose(r call.Request, tried []string, action evidence.Action) (attempt, bool) {
 	now := time.Now()
+	// The load of the server beside this node is known exactly at no cost; the
+	// one on its last answer is late when the server has just become slow.
+	if load, ok := e.beside.loadOf(r.Service); ok {
+		e.routes.Observe(r.Service, e.ID, routingLoad(load, 0), now)
+	}
 	choice, ok := e.routes.Pick(routing.Request{
 		Service: r.Service, Class: r.Class, Tenant: r.Tenant, Exclude: tried, Idempotent: r.Idempotent,
 	}, now)
@@ -130,7 +143,6 @@
 		return nil, err
 	}
 	e.routes.Observe(r.Service, a.choice.ID, routingLoad(answer.Load, 0), time.Now())
-	e.hedger.Observe(r.Class, took, time.Now())
 	outcome := routing.Answered
 	if answer.Status >= http.StatusInternalServerError {
 		outcome = routing.Failed
