--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -136,8 +136,12 @@
 	}
 	res := <-results
 	if res.server == "" || d.cause(res) != retry.Final || res.err != nil {
+		other := <-results
+		if other.server == "" {
+			return res.ending(cancels) // there was no server for the other one
+		}
 		res.drop()
-		return (<-results).ending(cancels)
+		return other.ending(cancels)
 	}
 	// The loser's context ends now, the winner's when its answer was read.
 	go func() { (<-results).drop() }()
--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -108,6 +108,12 @@
 	})
 	_, err := exchange(near, far, make([]byte, 600))
 	assert.Equal(t, fault.As(err).Kind, fault.KindOverloaded)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := far.Bodies.Held(); n != 0 {
+			return poll.Continue("%d bytes are held", n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	_, err = exchange(near, far, make([]byte, 1000))
 	assert.NilError(t, err)
 }
--- /dev/null
+++ b/pkg/member/target_race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package member_test
+
+const target = 200
