--- a/internal/daemon/measuring.go
+++ b/internal/daemon/measuring.go
@@ -76,7 +76,7 @@
 	m.probed = now
 	m.targets = m.routes.ProbeTargets(now, m.targets[:0])
 	for _, target := range m.targets {
-		if m.reachable(target) && !slices.Contains(m.waiting, target) {
+		if _, ok := m.linked(target); ok && !slices.Contains(m.waiting, target) {
 			m.waiting = append(m.waiting, target)
 		}
 	}
@@ -87,17 +87,17 @@
 	}
 }
 
-// reachable reports whether there is an open link to the target: the handshake
-// of a new one costs more than the answer is worth.
-func (m *measuring) reachable(target routing.ProbeTarget) bool {
+// linked returns the node beside the target if a link to it is open: the
+// handshake of a new one costs more than the answer is worth.
+func (m *measuring) linked(target routing.ProbeTarget) (node.Peer, bool) {
 	peer, ok := m.members.peer(target.ID)
-	return ok && target.ID != m.ID && m.node.Connected(peer)
+	return peer, ok && target.ID != m.ID && m.node.Connected(peer)
 }
 
 // start sends a probe if the budgets of the server and the link allow it.
 func (m *measuring) start(ctx context.Context, target routing.ProbeTarget, now time.Time) {
-	peer, ok := m.members.peer(target.ID)
-	if !ok || !m.reachable(target) {
+	peer, ok := m.linked(target)
+	if !ok {
 		return
 	}
 	select {
