Stop the accept loop from spinning after the listener is closed

Cause: nbhttp accepts again without a pause after an error, so a server that drains uses a whole core between the close of its listener and its end. Change: the listener that nbhttp gets holds its caller after an error.

--- a/internal/http1/drain.go
+++ b/internal/http1/drain.go
@@ -45,6 +45,7 @@
 // Close ends all connections at once.
 func (s *Server) Close() {
 	s.closing.Do(func() {
+		close(s.stopped)
 		_ = s.listener.Close()
 		for _, c := range s.snapshot() {
 			c.cancelRequest()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -67,6 +67,8 @@
 	engine   *nbhttp.Engine
 	listener net.Listener
 	closing  sync.Once
+	// stopped is closed with the server.
+	stopped chan struct{}
 
 	mu sync.Mutex
 	// conns holds every open connection.
@@ -92,10 +94,12 @@
 		s.Stall = defaultStall
 	}
 	s.conns = make(map[*nbio.Conn]*conn)
+	s.stopped = make(chan struct{})
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on TCP %s; choose a free port", addr)
 	}
+	listener = &patientListener{Listener: listener, stopped: s.stopped}
 	s.listener = listener
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:    "http1",
