Add the decisions of a node that follows a platform

Cause: the platform writes routes, splits and objectives that the product does not know, and its servers change pace every 150 ms.

--- /dev/null
+++ b/pkg/placement/pick.go
@@ -0,0 +1,167 @@
+// Package placement picks the backend server for a request from what a node
+// knows of the servers. It does no I/O; the caller passes the time.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Distance is how far a server is from the node that places a request.
+type Distance uint8
+
+// Distances, nearest first.
+const (
+	SameHost Distance = iota
+	SameDomain
+	SameRegion
+	OtherRegion
+)
+
+// Costs turn distance and size into time, so that they compare with waiting.
+type Costs struct {
+	// Travel is the time of one round trip by distance.
+	Travel [4]time.Duration
+	// PerKB is the waiting that moving a kilobyte by distance is worth.
+	PerKB [4]time.Duration
+}
+
+// DefaultCosts are those of failure domains 1 ms apart and regions 8 ms apart,
+// where traffic between regions is billed by volume.
+var DefaultCosts = Costs{
+	Travel: [4]time.Duration{0, 300 * time.Microsecond, 2 * time.Millisecond, 17 * time.Millisecond},
+	PerKB:  [4]time.Duration{0, 0, 3 * time.Millisecond, 15 * time.Millisecond},
+}
+
+// Server is what a node knows of one backend server.
+type Server struct {
+	ID       string
+	Distance Distance
+	// Running, Limit, Pace and Wait are the figures of the last answer or refusal.
+	Running, Limit int
+	Pace           float64
+	Wait           time.Duration
+	// Seen is when these figures came; zero means never.
+	Seen time.Time
+	// Mine is the number of this node's requests at the server that began after Seen.
+	Mine int
+	// Avoid is until when the server should get no requests, because it failed.
+	Avoid time.Time
+	// ColdUntil is when the server has warmed up after its start.
+	ColdUntil time.Time
+}
+
+// Request is what matters of a request.
+type Request struct {
+	// Bytes is the size of the body and the expected size of the answer.
+	Bytes int
+	// Work is the usual duration of such a request.
+	Work time.Duration
+	// Tried lists the servers that have handed the request back or failed.
+	Tried []string
+	// Again allows servers that were tried, for a request that must now wait.
+	Again bool
+}
+
+// Choice is the server that was picked, with the numbers that decided.
+type Choice struct {
+	Server Server
+	Score  time.Duration
+	// Known is false when nothing was heard from the server yet.
+	Known bool
+	// Others is the number of servers that could be tried after this one.
+	Others int
+}
+
+const (
+	// loadMemory is how long a load figure says something about a server.
+	loadMemory = time.Second
+	// paceMemory is how long a slow spell is expected to last after it was seen.
+	paceMemory = 150 * time.Millisecond
+	// slowPace is the pace from which a server counts as in a slow spell.
+	slowPace = 2.0
+	// crowd is what a server with all slots busy is worse than an idle one, beyond
+	// the waiting; it is a little more than a trip to the next failure domain with
+	// a small answer, so that load spreads over a region first.
+	crowd = 25 * time.Millisecond
+	// coldCost is what a server that warms up is worse.
+	coldCost = 40 * time.Millisecond
+	// jitter breaks ties between equal servers, so that nodes do not all pick the
+	// same one.
+	jitter = 1500 * time.Microsecond
+	// avoidCost keeps a failing server behind all others without excluding it
+	// where there is no other.
+	avoidCost = 10 * time.Second
+)
+
+// Pick returns the server with the least expected cost.
+//
+// Load pattern: figures about a server are tens of milliseconds old, spells of
+// slowness last 150 ms, and many nodes place at the same time. A figure
+// therefore loses weight with its age, the requests that this node sent since
+// then count on top, and ties are broken at random.
+func (c *Costs) Pick(servers []Server, r Request, now time.Time) (Choice, bool) {
+	best, found := Choice{}, false
+	others := 0
+	for i := range servers {
+		s := &servers[i]
+		if !r.Again && contains(r.Tried, s.ID) {
+			continue
+		}
+		if now.Before(s.Avoid) && found {
+			continue
+		}
+		others++
+		score := c.score(s, r, now)
+		if !found || score < best.Score {
+			best.Server, best.Score, best.Known, found = *s, score, !s.Seen.IsZero(), true
+		}
+	}
+	best.Others = max(others-1, 0)
+	return best, found
+}
+
+func (c *Costs) score(s *Server, r Request, now time.Time) time.Duration {
+	score := c.Travel[s.Distance] + c.PerKB[s.Distance]*time.Duration(r.Bytes)/1024
+	score += time.Duration(rand.Int64N(int64(jitter)))
+	if now.Before(s.Avoid) {
+		score += avoidCost
+	}
+	if now.Before(s.ColdUntil) {
+		score += coldCost
+	}
+	return score + s.pressure(r.Work, now)
+}
+
+// pressure is the time that the server's load is expected to cost.
+func (s *Server) pressure(work time.Duration, now time.Time) time.Duration {
+	limit := max(s.Limit, 1)
+	if s.Seen.IsZero() || now.Sub(s.Seen) > loadMemory {
+		return crowd * time.Duration(s.Mine) / time.Duration(limit+s.Mine)
+	}
+	age := now.Sub(s.Seen)
+	freshness := 1 - float64(age)/float64(loadMemory)
+	busy := float64(s.Running)*freshness + float64(s.Mine)
+	cost := time.Duration(float64(crowd) * busy / float64(limit))
+	cost += max(s.Wait-age, 0)
+	if s.Pace >= slowPace && age < paceMemory {
+		left := float64(paceMemory-age) * (1 - 1/s.Pace)
+		cost += min(time.Duration(left), time.Duration(float64(work)*(s.Pace-1)))
+	}
+	return cost
+}
+
+// Full reports whether the server is known to have no free slot.
+func (s *Server) Full(now time.Time) bool {
+	age := now.Sub(s.Seen)
+	return !s.Seen.IsZero() && age < s.Wait
+}
+
+func contains(list []string, id string) bool {
+	for _, s := range list {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/roster/roster.go
@@ -0,0 +1,75 @@
+package roster
+
+import "time"
+
+// Roster holds the newest entry of each node. The zero value is empty. It is
+// not safe for concurrent use.
+type Roster struct {
+	entries map[string]Entry
+	// since is when the entry of a node arrived.
+	since map[string]time.Time
+	// addrs finds the node at an address.
+	addrs map[string]string
+}
+
+// Merge takes an entry and reports whether it told something new. A node that
+// appears at the address of another one has replaced it: an address belongs to
+// one process at a time.
+func (r *Roster) Merge(e Entry, now time.Time) bool {
+	old, known := r.entries[e.Node]
+	if known && !e.Newer(old) {
+		return false
+	}
+	if r.entries == nil {
+		r.entries, r.since, r.addrs = make(map[string]Entry), make(map[string]time.Time), make(map[string]string)
+	}
+	if other, taken := r.addrs[e.Addr]; taken && other != e.Node {
+		if r.entries[other].Start > e.Start {
+			return false
+		}
+		r.Remove(other)
+	}
+	if known && old.Addr != e.Addr {
+		delete(r.addrs, old.Addr)
+	}
+	r.entries[e.Node], r.since[e.Node], r.addrs[e.Addr] = e, now, e.Node
+	return true
+}
+
+// Remove forgets a node.
+func (r *Roster) Remove(node string) {
+	e, ok := r.entries[node]
+	if !ok {
+		return
+	}
+	delete(r.entries, node)
+	delete(r.since, node)
+	if r.addrs[e.Addr] == node {
+		delete(r.addrs, e.Addr)
+	}
+}
+
+// Get returns the entry of a node.
+func (r *Roster) Get(node string) (Entry, bool) {
+	e, ok := r.entries[node]
+	return e, ok
+}
+
+// WarmUntil returns when the node's server will be as fast as usual.
+func (r *Roster) WarmUntil(node string) time.Time {
+	e, ok := r.entries[node]
+	if !ok || e.Warm <= 0 {
+		return time.Time{}
+	}
+	return r.since[node].Add(e.Warm)
+}
+
+// Len returns the number of nodes.
+func (r *Roster) Len() int { return len(r.entries) }
+
+// Each calls f for every entry, in no order.
+func (r *Roster) Each(f func(Entry)) {
+	for _, e := range r.entries {
+		f(e)
+	}
+}
--- /dev/null
+++ b/pkg/roster/server.go
@@ -0,0 +1,54 @@
+package roster
+
+import "time"
+
+// Report is what a backend server says of itself.
+type Report struct {
+	ID    string
+	State State
+	Slots int
+	// Born is when the server started; it orders servers at one address.
+	Born int64
+	// Seq orders the reports of one server.
+	Seq int64
+	// Warm is how long the server will still be slow after its start.
+	Warm time.Duration
+}
+
+// Server follows the reports of the backend server beside a node: a report may
+// arrive late, from a server that has been replaced at its address since. The
+// zero value knows no server.
+type Server struct {
+	Report
+}
+
+// Take applies a report and reports whether it changed what other nodes need to
+// know; stale is set when the report is older than what is known.
+func (s *Server) Take(r Report) (changed, stale bool) {
+	if s.ID != "" && s.older(r) {
+		return false, true
+	}
+	old := s.Report
+	s.Report = r
+	return old.ID != r.ID || old.State != r.State || old.Slots != r.Slots || old.Born != 0 && old.Born != r.Born, false
+}
+
+func (s *Server) older(r Report) bool {
+	if r.Born != s.Born && r.Born != 0 && s.Born != 0 {
+		return r.Born < s.Born
+	}
+	if r.ID != s.ID {
+		return r.Born == 0 && s.Born != 0
+	}
+	return r.Seq < s.Seq || s.State == Gone && r.State != Gone && r.Born == s.Born && s.Born != 0
+}
+
+// Leave marks the server as gone. It reports false for a server that is not the
+// present one.
+func (s *Server) Leave(id string, born int64) bool {
+	if id != s.ID || born != 0 && s.Born != 0 && born != s.Born {
+		return false
+	}
+	s.State = Gone
+	return true
+}
--- /dev/null
+++ b/pkg/route/table.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+)
+
+// Table finds routes in one document. It is safe for concurrent use.
+type Table struct {
+	Document *Document
+	// hosts holds the routes of a host, longest prefix first.
+	hosts    map[string][]*entry
+	services map[string]Service
+}
+
+type entry struct {
+	Route
+	mu sync.Mutex
+	// credits of the parts, for smooth weighted round robin.
+	credits []int
+}
+
+// NewTable indexes a document that Check accepts.
+func NewTable(d *Document) *Table {
+	t := &Table{Document: d, hosts: make(map[string][]*entry), services: make(map[string]Service, len(d.Services))}
+	for _, s := range d.Services {
+		t.services[s.Name] = s
+	}
+	for _, r := range d.Routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], newEntry(r))
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return t
+}
+
+// newEntry starts the round robin at a random point, so that nodes that start
+// together do not all send their first requests to the same part.
+func newEntry(r Route) *entry {
+	e := &entry{Route: r, credits: make([]int, len(r.Parts))}
+	sum := 0
+	for _, p := range r.Parts {
+		sum += p.Weight
+	}
+	for range rand.IntN(sum) {
+		e.next()
+	}
+	return e
+}
+
+// Service returns a service by its name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Find returns the route of a request and the service that this request of the
+// route goes to.
+func (t *Table) Find(host, path string) (r Route, service string, ok bool) {
+	for _, e := range t.hosts[hostname(host)] {
+		if strings.HasPrefix(path, e.Prefix) {
+			return e.Route, e.pick(), true
+		}
+	}
+	return Route{}, "", false
+}
+
+// pick deals the requests to the parts by weight. Dealing them in turn keeps
+// each part within one request of its share, where a random choice would be
+// off by several percent in a window of 200 requests.
+func (e *entry) pick() string {
+	if len(e.Parts) == 1 {
+		return e.Parts[0].Service
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Parts[e.next()].Service
+}
+
+func (e *entry) next() int {
+	best, sum := 0, 0
+	for i, p := range e.Parts {
+		e.credits[i] += p.Weight
+		sum += p.Weight
+		if e.credits[i] > e.credits[best] {
+			best = i
+		}
+	}
+	e.credits[best] -= sum
+	return best
+}
+
+func hostname(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/pkg/slots/gate.go
@@ -0,0 +1,295 @@
+package slots
+
+import (
+	"time"
+)
+
+// Gate has the last word on each request for one backend server: it alone
+// counts the server's running requests exactly and knows its pace to within
+// milliseconds.
+//
+// Load pattern: neighbours slow a server down by a factor of five for spells of
+// 150 ms. What the callers' nodes know is older than a spell, so the gate hands
+// a request back in a slow spell or when full, and the sender goes elsewhere for
+// the price of one round trip. The last server that a sender may ask keeps the
+// request in line if its objective can still be met, and turns it away at once
+// if not.
+//
+// The zero value has no slots and hands everything back. Gate is not safe for
+// concurrent use.
+type Gate struct {
+	Pace  Pace
+	Limit Limit
+	// usual holds the mean duration of runs by kind, at the usual pace.
+	usual   map[string]*mean
+	all     mean
+	running int
+	line    []*Run
+	// closed is set while the server takes no new work.
+	closed bool
+}
+
+// Ask is a request that wants to run.
+type Ask struct {
+	// Kind groups requests of similar duration.
+	Kind string
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// Objective is when the answer loses most of its worth, Deadline when it is
+	// worth nothing.
+	Objective, Deadline time.Time
+	// Last is set when the sender will ask no other server.
+	Last bool
+	// Wake is called when a request that waited may run (true) or is turned away.
+	Wake func(run bool)
+}
+
+// Verdict is what happens to a request.
+type Verdict uint8
+
+const (
+	// Start means that the request runs now.
+	Start Verdict = iota
+	// Wait means that the request waits in line until Wake.
+	Wait
+	// HandBack means that another server is the better choice.
+	HandBack
+	// TurnAway means that the request cannot be served in time.
+	TurnAway
+)
+
+// String returns the verdict as it stands in logs.
+func (v Verdict) String() string {
+	return [...]string{"start", "wait", "hand-back", "turn-away"}[v]
+}
+
+// Run is a request that was admitted or waits.
+type Run struct {
+	Ask
+	entered  time.Time
+	started  time.Time
+	progress time.Duration
+	level    int
+	waiting  bool
+}
+
+// Load is what other nodes are told of the server.
+type Load struct {
+	Running, Waiting, Limit, Slots int
+	Pace                           float64
+	// Wait is how long a request would wait for a slot.
+	Wait time.Duration
+}
+
+type mean struct {
+	value   float64
+	samples float64
+}
+
+const (
+	// meanMemory is how many runs weigh in a mean duration.
+	meanMemory = 50
+	// defaultWork stands for the duration of work while nothing has run yet.
+	defaultWork = 50 * time.Millisecond
+	// lineFactor bounds the line in multiples of the limit: more could not start
+	// before the objective of a request that takes a third of it.
+	lineFactor = 3
+	// lateShare is the share of slots that work beyond its objective may use, so
+	// that it never delays work that can still be on time.
+	lateShare = 0.75
+)
+
+func (m *mean) add(v float64) {
+	m.samples = min(m.samples+1, meanMemory)
+	m.value += (v - m.value) / m.samples
+}
+
+// SetClosed stops or resumes taking new work.
+func (g *Gate) SetClosed(closed bool) { g.closed = closed }
+
+// Closed reports whether the server takes no new work.
+func (g *Gate) Closed() bool { return g.closed }
+
+// Running returns the number of requests at the server.
+func (g *Gate) Running() int { return g.running }
+
+// Work returns the usual duration of a kind of request.
+func (g *Gate) Work(kind string) time.Duration {
+	if m := g.usual[kind]; m != nil && m.samples >= 3 {
+		return time.Duration(m.value)
+	}
+	return g.typical()
+}
+
+func (g *Gate) typical() time.Duration {
+	if g.all.samples >= 3 {
+		return time.Duration(g.all.value)
+	}
+	return defaultWork
+}
+
+// Enter decides on a request. The run is nil unless the verdict is Start or Wait.
+func (g *Gate) Enter(ask Ask, now time.Time) (*Run, Verdict) {
+	if g.closed || g.Limit.Current() == 0 {
+		return nil, HandBack
+	}
+	run := &Run{Ask: ask, entered: now}
+	work := g.Work(ask.Kind)
+	late := !ask.Objective.IsZero() && now.Add(work).After(ask.Objective)
+	free := g.running < g.Limit.Current() && !g.hasWaiting(ask.Priority)
+	if late && ask.Last && float64(g.running) >= lateShare*float64(g.Limit.Current()) {
+		free = false
+	}
+	switch {
+	case free && (ask.Last || !g.Pace.Slow(now)):
+		g.start(run, now)
+		return run, Start
+	case !ask.Last:
+		return nil, HandBack
+	case late || now.Add(g.Estimate(ask.Priority, now)+work).After(ask.Objective):
+		return nil, TurnAway
+	case len(g.line) >= lineFactor*g.Limit.Current() && !g.evict(ask.Priority):
+		return nil, TurnAway
+	}
+	run.waiting = true
+	g.insert(run)
+	return run, Wait
+}
+
+func (g *Gate) hasWaiting(priority int) bool {
+	return len(g.line) > 0 && g.line[0].Priority <= priority
+}
+
+// Estimate returns how long a request of a priority would wait for a slot.
+func (g *Gate) Estimate(priority int, now time.Time) time.Duration {
+	limit := g.Limit.Current()
+	if limit == 0 {
+		return time.Second
+	}
+	ahead := 0
+	for _, r := range g.line {
+		if r.Priority <= priority {
+			ahead++
+		}
+	}
+	over := g.running - limit + 1 + ahead
+	if over <= 0 {
+		return 0
+	}
+	each := float64(g.typical()) * g.Pace.Factor(now) / float64(limit)
+	return time.Duration(float64(over) * each)
+}
+
+// insert keeps the line ordered by priority, then by arrival.
+func (g *Gate) insert(run *Run) {
+	i := len(g.line)
+	for i > 0 && g.line[i-1].Priority > run.Priority {
+		i--
+	}
+	g.line = append(g.line, nil)
+	copy(g.line[i+1:], g.line[i:])
+	g.line[i] = run
+}
+
+// evict turns away the last of the line for a more urgent request.
+func (g *Gate) evict(priority int) bool {
+	last := g.line[len(g.line)-1]
+	if last.Priority <= priority {
+		return false
+	}
+	g.line = g.line[:len(g.line)-1]
+	last.waiting = false
+	last.Wake(false)
+	return true
+}
+
+func (g *Gate) start(run *Run, now time.Time) {
+	g.running++
+	run.waiting = false
+	run.started, run.progress, run.level = now, g.Pace.Progress(now), g.running
+}
+
+// Leave ends a run or a wait. Worked tells whether the duration says something
+// about the server.
+func (g *Gate) Leave(run *Run, worked bool, now time.Time) {
+	if run.waiting {
+		g.remove(run)
+		return
+	}
+	if run.started.IsZero() {
+		return
+	}
+	if worked {
+		g.learn(run, now)
+	}
+	g.running--
+	g.Tick(now)
+}
+
+func (g *Gate) remove(run *Run) {
+	for i, r := range g.line {
+		if r == run {
+			g.line = append(g.line[:i], g.line[i+1:]...)
+			run.waiting = false
+			return
+		}
+	}
+}
+
+func (g *Gate) learn(run *Run, now time.Time) {
+	took := float64(g.Pace.Progress(now) - run.progress)
+	if took <= 0 {
+		took = float64(now.Sub(run.started))
+	}
+	if g.usual == nil {
+		g.usual = make(map[string]*mean)
+	}
+	m := g.usual[run.Kind]
+	if m == nil {
+		m = &mean{}
+		g.usual[run.Kind] = m
+	}
+	level := (run.level + g.running) / 2
+	if m.samples >= 3 {
+		g.Limit.Observe(level, took/m.value)
+	}
+	// What is usual is learned where the server is not crowded, or a slowdown at
+	// high concurrency would become the measure of itself.
+	if m.samples < 3 || 2*level <= g.Limit.Slots()+2 || level <= g.Limit.Slots()*2/3 {
+		m.add(took)
+	}
+	g.all.add(took)
+}
+
+// Tick starts requests that wait and turns away those that can no longer be on
+// time.
+func (g *Gate) Tick(now time.Time) {
+	kept := g.line[:0]
+	var away []*Run
+	for _, r := range g.line {
+		if g.closed || now.Add(g.Work(r.Kind)).After(r.Objective) {
+			r.waiting = false
+			away = append(away, r)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	g.line = kept
+	for len(g.line) > 0 && g.running < g.Limit.Current() {
+		next := g.line[0]
+		g.line = g.line[1:]
+		g.start(next, now)
+		next.Wake(true)
+	}
+	for _, r := range away {
+		r.Wake(false)
+	}
+}
+
+// Load returns the figures that ride on answers and refusals.
+func (g *Gate) Load(now time.Time) Load {
+	return Load{
+		Running: g.running, Waiting: len(g.line), Limit: g.Limit.Current(), Slots: g.Limit.Slots(),
+		Pace: g.Pace.Factor(now), Wait: g.Estimate(1<<30, now),
+	}
+}
