--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func start(t *testing.T, h Handler) (*Client, string) {
+	t.Helper()
+	s := &Server{Handler: h}
+	assert.NilError(t, s.Listen("127.0.0.1:0"))
+	c := &Client{Hello: []byte("n1")}
+	t.Cleanup(func() {
+		c.Close()
+		s.Close()
+	})
+	return c, s.Addr()
+}
+
+// Guards against answers that are mixed between streams or cut at frame borders.
+func TestCallReturnsTheWholeAnswer(t *testing.T) {
+	c, addr := start(t, func(_ context.Context, r Incoming) Reply {
+		return Reply{Head: r.Head, Whole: r.Body}
+	})
+	for name, size := range map[string]int{"empty": 0, "small": 10, "one frame": dataFrame, "large": 5*dataFrame + 7} {
+		t.Run(name, func(t *testing.T) {
+			body := bytes.Repeat([]byte(name), size/len(name)+1)[:size]
+			a, err := c.Call(context.Background(), addr, Request{Head: []byte(name), Body: body})
+			assert.NilError(t, err)
+			got, err := io.ReadAll(a.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, a.Body.Close())
+			assert.Equal(t, string(a.Head), name)
+			assert.Assert(t, bytes.Equal(got, body))
+		})
+	}
+	assert.Equal(t, c.Links(), 1)
+}
+
+type failingReader struct{ io.Reader }
+
+func (f failingReader) Read(p []byte) (int, error) {
+	n, err := f.Reader.Read(p)
+	if err == io.EOF {
+		err = errors.New("server broke off")
+	}
+	return n, err
+}
+
+// Guards against a truncated answer that looks complete.
+func TestCutAnswerIsAnError(t *testing.T) {
+	c, addr := start(t, func(context.Context, Incoming) Reply {
+		return Reply{Head: []byte("h"), Rest: io.NopCloser(failingReader{bytes.NewReader(make([]byte, 1<<20))})}
+	})
+	a, err := c.Call(context.Background(), addr, Request{})
+	assert.NilError(t, err)
+	_, err = io.ReadAll(a.Body)
+	assert.ErrorIs(t, err, ErrCut)
+	assert.NilError(t, a.Body.Close())
+}
+
+// Guards against work that goes on after the caller has left.
+func TestCancelReachesTheHandler(t *testing.T) {
+	canceled := make(chan struct{})
+	c, addr := start(t, func(ctx context.Context, _ Incoming) Reply {
+		<-ctx.Done()
+		close(canceled)
+		return Reply{}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := c.Call(ctx, addr, Request{})
+	assert.ErrorIs(t, err, context.Canceled)
+	<-canceled
+}
+
+// Guards against calling a request unsent that a peer may have.
+func TestErrorsTellWhetherTheRequestLeft(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := l.Addr().String()
+	assert.NilError(t, l.Close())
+	c := &Client{}
+	_, err = c.Call(context.Background(), closed, Request{})
+	assert.ErrorIs(t, err, ErrNotSent)
+
+	lost, addr := start(t, nil)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer silent.Close()
+	_ = addr
+	go func() {
+		conn, err := silent.Accept()
+		if err == nil {
+			_, _ = conn.Read(make([]byte, 1024))
+			_ = conn.Close()
+		}
+	}()
+	_, err = lost.Call(context.Background(), silent.Addr().String(), Request{Head: []byte("x")})
+	assert.ErrorIs(t, err, ErrLost)
+}
+
+// Guards against waiting for the deadline on a connection that went silent.
+func TestSilentPeerIsNoticed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	c := &Client{Patience: 50 * time.Millisecond}
+	defer c.Close()
+	_, err = c.Call(context.Background(), l.Addr().String(), Request{Impatient: true})
+	assert.ErrorIs(t, err, ErrSilent)
+	_, err = c.Call(context.Background(), l.Addr().String(), Request{})
+	assert.ErrorIs(t, err, ErrLost)
+}
