--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -16,6 +17,12 @@
 	Slots    int           `msgpack:"s"`
 	Latency  time.Duration `msgpack:"l"`
 	Draining bool          `msgpack:"d,omitempty"`
+	// Limit is the concurrency that the node allows; zero where Slots is meant.
+	Limit int `msgpack:"m,omitempty"`
+	// Pace is how long work takes as a multiple of the usual; zero when unknown.
+	Pace float64 `msgpack:"p,omitempty"`
+	// Wait is how long a request would wait for a slot.
+	Wait time.Duration `msgpack:"w,omitempty"`
 }
 
 // Answer is the answer to one request. Body ends with io.EOF only when the
@@ -25,8 +32,12 @@
 	Header http.Header
 	// Length is the body's length in bytes, or -1 when it is not known.
 	Length int64
-	Body   io.ReadCloser
-	Load   Load
+	// Whole is the body, or its beginning when Body is set as well. Answers that
+	// set Whole are read with Open.
+	Whole []byte
+	// Body is nil when Whole is all.
+	Body io.ReadCloser
+	Load Load
 	// Server is the ID of the node beside the backend server that answered.
 	Server string
 	// Allowance is the number of retries that remain for the whole chain.
@@ -36,6 +47,21 @@
 	Outcome  fault.Outcome
 }
 
+// Open returns the whole body as a stream.
+func (a *Answer) Open() io.ReadCloser {
+	switch {
+	case a.Body == nil:
+		return io.NopCloser(bytes.NewReader(a.Whole))
+	case len(a.Whole) == 0:
+		return a.Body
+	default:
+		return struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(a.Whole), a.Body), a.Body}
+	}
+}
+
 // Server answers requests: a backend server, a node, or a chain of both.
 type Server interface {
 	Serve(ctx context.Context, r Request) (*Answer, error)
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -59,6 +59,23 @@
 	Allowance int `msgpack:"a"`
 	// Deadline is a monotonic instant of this process; it travels as Timeout.
 	Deadline time.Time `msgpack:"-"`
+	// Host is the authority that the caller named.
+	Host string `msgpack:"w,omitempty"`
+	// Origin is the service of the host where the request began.
+	Origin string `msgpack:"o,omitempty"`
+	// Target is the backend server that the placing node means.
+	Target string `msgpack:"g,omitempty"`
+	// Route names the configured route; requests of a route are alike.
+	Route string `msgpack:"r,omitempty"`
+	// Priority is 0 for the most urgent requests.
+	Priority int `msgpack:"q,omitempty"`
+	// Objective is when the answer loses most of its worth; zero means never. It
+	// travels as Aim.
+	Objective time.Time `msgpack:"-"`
+	// Aim is only set on the wire.
+	Aim time.Duration `msgpack:"b,omitempty"`
+	// Last is set when no other server will be asked.
+	Last bool `msgpack:"z,omitempty"`
 	// Timeout is only set on the wire.
 	Timeout time.Duration `msgpack:"l"`
 	Body    []byte        `msgpack:"-"`
@@ -83,6 +100,12 @@
 	return r
 }
 
+// WithTarget returns a copy that is meant for one backend server.
+func (r Request) WithTarget(server string, last bool) Request {
+	r.Target, r.Last = server, last
+	return r
+}
+
 // Keyed reports whether the request takes the at-most-once path.
 func (r Request) Keyed() bool { return r.Key != "" && !r.Idempotent }
 
--- /dev/null
+++ b/internal/caller/dialect.go
@@ -0,0 +1,45 @@
+package caller
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// ownDialect is the set of headers that package call names.
+type ownDialect struct {
+	rules Rules
+}
+
+// Parse implements Dialect.
+func (d ownDialect) Parse(r *http.Request, body []byte, now time.Time) (call.Request, error) {
+	return parse(r, body, d.rules, now)
+}
+
+// Mark implements Dialect.
+func (ownDialect) Mark(h http.Header, r call.Request, a *call.Answer) {
+	h.Set(call.HeaderID, r.ID)
+	h.Set(call.HeaderOutcome, fault.Ran.String())
+	h.Set(call.HeaderAllowance, strconv.Itoa(a.Allowance))
+	if a.Replayed {
+		h.Set(call.HeaderReplayed, "true")
+	}
+}
+
+// Refuse implements Dialect.
+func (ownDialect) Refuse(h http.Header, id string, f *fault.Error) {
+	h.Set(call.HeaderOutcome, f.Outcome.String())
+	if id != "" {
+		h.Set(call.HeaderID, id)
+	}
+	if f.Wait > 0 {
+		h.Set("Retry-After", strconv.Itoa(retryAfter(f.Wait)))
+	}
+}
+
+// retryAfter rounds up to whole seconds, the unit of Retry-After.
+func retryAfter(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -2,12 +2,8 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
-	"strconv"
-	"time"
 
-	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/http1"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
@@ -27,7 +23,7 @@
 }
 
 // respondFault makes the response to a request that failed in the system.
-func respondFault(f *fault.Error, id string) *http.Response {
+func (s *Server) respondFault(f *fault.Error, id string) *http.Response {
 	body, err := json.Marshal(problem{
 		Type:    problemPrefix + string(f.Kind),
 		Title:   http.StatusText(f.Status),
@@ -41,15 +37,6 @@
 		body = []byte(`{"title":"` + http.StatusText(f.Status) + `"}`)
 	}
 	response := http1.Bytes(f.Status, "application/problem+json", body)
-	response.Header.Set(call.HeaderOutcome, f.Outcome.String())
-	if id != "" {
-		response.Header.Set(call.HeaderID, id)
-	}
-	if f.Wait > 0 {
-		response.Header.Set("Retry-After", strconv.Itoa(retryAfter(f.Wait)))
-	}
+	s.Dialect.Refuse(response.Header, id, f)
 	return response
 }
-
-// retryAfter rounds up to whole seconds, the unit of Retry-After.
-func retryAfter(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -26,37 +26,53 @@
 	http1.Server
 	// Calls answers the requests; never nil.
 	Calls call.Server
-	// Rules is never nil.
+	// Rules is never nil where Dialect is.
 	Rules Rules
+	// Dialect reads requests and marks answers; nil means the system's own headers.
+	Dialect Dialect
 	// Observer may be nil.
 	Observer Observer
 }
 
+// Dialect is the set of headers that one kind of caller uses.
+type Dialect interface {
+	// Parse makes a request of the system from an HTTP request. What it returns
+	// with an error is used for the log only.
+	Parse(r *http.Request, body []byte, now time.Time) (call.Request, error)
+	// Mark adds what callers are told with an answer.
+	Mark(h http.Header, r call.Request, a *call.Answer)
+	// Refuse adds what callers are told with an error.
+	Refuse(h http.Header, id string, f *fault.Error)
+}
+
 // Listen binds the address and starts to serve callers.
 func (s *Server) Listen(addr string) error {
 	s.Handler = s.handle
-	s.BadRequest = badRequest
+	if s.Dialect == nil {
+		s.Dialect = ownDialect{s.Rules}
+	}
+	s.BadRequest = s.badRequest
 	return s.Server.Listen(addr)
 }
 
-func badRequest(err error) *http.Response {
+func (s *Server) badRequest(err error) *http.Response {
 	switch {
 	case errors.Is(err, nbhttp.ErrTooLong):
-		return respondFault(fault.New(fault.KindTooLarge, "the body or the headers are over the limit"), "")
+		return s.respondFault(fault.New(fault.KindTooLarge, "the body or the headers are over the limit"), "")
 	case errors.Is(err, http1.ErrNoMemory):
-		return respondFault(fault.New(fault.KindOverloaded, "%v", err), "")
+		return s.respondFault(fault.New(fault.KindOverloaded, "%v", err), "")
 	default:
-		return respondFault(fault.New(fault.KindBadRequest, "malformed HTTP: %v", err), "")
+		return s.respondFault(fault.New(fault.KindBadRequest, "malformed HTTP: %v", err), "")
 	}
 }
 
 func (s *Server) handle(ctx context.Context, hr *http.Request, body []byte) *http.Response {
 	start := time.Now()
-	r, err := parse(hr, body, s.Rules, start)
+	r, err := s.Dialect.Parse(hr, body, start)
 	if err != nil {
 		f := fault.As(err)
 		s.observe(r, f.Status, f, start)
-		return respondFault(f, r.ID)
+		return s.respondFault(f, r.ID)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	answer, err := s.Calls.Serve(ctx, r)
@@ -64,7 +80,7 @@
 		cancel()
 		f := fault.As(err)
 		s.observe(r, f.Status, f, start)
-		return respondFault(f, r.ID)
+		return s.respondFault(f, r.ID)
 	}
 	return s.respond(answer, r, start, cancel)
 }
@@ -74,17 +90,12 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	header.Set(call.HeaderID, r.ID)
-	header.Set(call.HeaderOutcome, fault.Ran.String())
-	header.Set(call.HeaderAllowance, strconv.Itoa(answer.Allowance))
-	if answer.Replayed {
-		header.Set(call.HeaderReplayed, "true")
-	}
+	s.Dialect.Mark(header, r, answer)
 	return &http.Response{
 		StatusCode:    answer.Status,
 		Header:        header,
 		ContentLength: contentLength(answer, r.Method),
-		Body: &observedBody{ReadCloser: answer.Body, done: func(err error) {
+		Body: &observedBody{ReadCloser: answer.Open(), done: func(err error) {
 			cancel()
 			s.observe(r, answer.Status, err, start)
 		}},
--- /dev/null
+++ b/internal/mesh/entry.go
@@ -0,0 +1,170 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/retry"
+	"github.com/vanillasail/vanillasail/pkg/route"
+)
+
+const (
+	// maxHandBacks is how often a request is handed back before it waits at a
+	// server; each costs a round trip.
+	maxHandBacks = 3
+	// maxSends bounds the sends of one request to nodes, whatever comes back.
+	maxSends = 12
+	// minRetryAfter is the shortest time after which a refused caller may come
+	// back; less would return before anything has changed.
+	minRetryAfter = 50 * time.Millisecond
+	// budgetShare is the part of the platform's bound on second sends that is
+	// used: the calls that a second run makes count again at the services called.
+	budgetShare = 0.4
+	// usualAnswer is the assumed size of an answer in bytes.
+	usualAnswer = 2 << 10
+)
+
+// entry places the requests that arrive at this node.
+type entry struct {
+	*Options
+	directory *directory
+	far       *far
+	peers     *peer.Client
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window
+	// longest is the longest deadline seen for each route. A caller that comes
+	// again has less time left, which tells how long it has been waiting.
+	longest map[string]time.Duration
+}
+
+// place finishes a parsed request with its route. A caller counts the latency
+// from its first attempt.
+func (e *entry) place(r call.Request, rt route.Route, service string, now time.Time) call.Request {
+	r.Service, r.Route, r.Idempotent, r.Priority, r.Origin = service, rt.Name, rt.Idempotent, rt.Priority, e.Service
+	limit := now.Add(rt.Timeout)
+	left := rt.Timeout
+	if !r.Deadline.IsZero() {
+		left = r.Deadline.Sub(now)
+	}
+	if r.Deadline.IsZero() || limit.Before(r.Deadline) {
+		r.Deadline = limit
+	}
+	if rt.Objective > 0 {
+		r.Objective = now.Add(rt.Objective - e.waited(rt.Name, left))
+	}
+	return r
+}
+
+// waited estimates how long the caller has been waiting already.
+func (e *entry) waited(route string, left time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.longest == nil {
+		e.longest = make(map[string]time.Duration)
+	}
+	if left > e.longest[route] {
+		e.longest[route] = left
+	}
+	return e.longest[route] - left
+}
+
+// budget returns the bound on second sends of a service.
+func (e *entry) budget(service string) *retry.Window {
+	if e.budgets == nil {
+		e.budgets = make(map[string]*retry.Window)
+	}
+	w := e.budgets[service]
+	if w == nil {
+		w = &retry.Window{Span: e.Bounds.RetrySpan, Ratio: e.Bounds.RetryRatio * budgetShare}
+		e.budgets[service] = w
+	}
+	w.Fixed = e.Bounds.RetryFixed * budgetShare / float64(max(e.directory.nodes(), 1))
+	return w
+}
+
+func (e *entry) count(service string, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget(service).Request(now)
+}
+
+func (e *entry) again(service string, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget(service).Take(now)
+}
+
+// send asks the node beside a server to run the request.
+func (e *entry) send(ctx context.Context, r call.Request, choice placement.Choice) outcome {
+	node := choice.Server.ID
+	e.directory.began(node)
+	var out outcome
+	if choice.Server.Distance == placement.SameHost {
+		out = e.far.serve(ctx, r)
+	} else {
+		out = e.remote(ctx, r, node)
+	}
+	now := time.Now()
+	e.directory.ended(node)
+	if out.load.Slots > 0 {
+		e.directory.observe(node, out.load, now)
+	}
+	if out.ran {
+		e.directory.outcome(node, out.err != nil && ctx.Err() == nil || out.answer != nil && out.answer.Status >= 500, now)
+	}
+	return out
+}
+
+func (e *entry) remote(ctx context.Context, r call.Request, node string) outcome {
+	to, ok := e.directory.entry(node)
+	if !ok {
+		return outcome{err: fault.New(fault.KindUnreachable, "node %s has left", node).WithOutcome(fault.Refused)}
+	}
+	body := r.Body
+	r.Body = nil
+	head, err := encodeCall(r, time.Now())
+	if err != nil {
+		return outcome{err: fault.As(err).WithOutcome(fault.Refused)}
+	}
+	answer, err := e.peers.Call(ctx, to.Addr, peer.Request{Head: head, Body: body, Impatient: r.Idempotent})
+	if err != nil {
+		return e.lost(ctx, node, err)
+	}
+	var reply response
+	if err := msgpack.Unmarshal(answer.Head, &reply); err != nil {
+		_ = answer.Body.Close()
+		return outcome{err: fault.New(fault.KindCutShort, "reply of node %s: %v", node, err), ran: true}
+	}
+	out := outcome{ran: reply.Ran, err: reply.Fault}
+	if reply.Load != nil {
+		out.load = *reply.Load
+	}
+	if reply.Fault != nil {
+		_ = answer.Body.Close()
+		return out
+	}
+	out.answer = &call.Answer{Status: reply.Status, Header: reply.Header, Length: reply.Length, Body: answer.Body, Outcome: fault.Ran, Server: node}
+	return out
+}
+
+// lost types the failure of a call to another node.
+func (e *entry) lost(ctx context.Context, node string, err error) outcome {
+	if ctx.Err() != nil {
+		return outcome{err: fault.New(fault.KindDeadline, "no answer before the deadline, or the caller left"), ran: true}
+	}
+	e.directory.unreachable(node, time.Now())
+	failure := fault.New(fault.KindUnreachable, "node %s: %v", node, err)
+	if errors.Is(err, peer.ErrNotSent) {
+		return outcome{err: failure.WithOutcome(fault.Refused)}
+	}
+	return outcome{err: failure, ran: true}
+}
--- /dev/null
+++ b/internal/mesh/far.go
@@ -0,0 +1,235 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/backend"
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/slots"
+)
+
+// far runs requests on the backend server beside this node. All that reaches
+// the server passes here, so the last word on its slots and on its leaving is
+// said here.
+type far struct {
+	*Options
+	pool backend.Pool
+
+	mu     sync.Mutex
+	gate   slots.Gate
+	server roster.Server
+	// lost is set while the server accepts no connections.
+	lost bool
+	// asked is when the last request came, probing whether probes are under way.
+	asked   time.Time
+	probing bool
+	health  string
+	// changed is called, without the lock, when other nodes need to know more.
+	changed func()
+}
+
+// outcome is how the attempt of one request ended.
+type outcome struct {
+	answer *call.Answer
+	err    *fault.Error
+	load   call.Load
+	// ran is set when the request has reached the server and may have run.
+	ran bool
+}
+
+// serve runs the request, lets it wait, or turns it away.
+func (f *far) serve(ctx context.Context, r call.Request) outcome {
+	run, err := f.enter(ctx, r)
+	if err != nil {
+		return outcome{err: err, load: f.load()}
+	}
+	answer, failure := f.run(ctx, r)
+	f.leave(run, answer, failure)
+	if failure != nil {
+		return outcome{err: failure, load: f.load(), ran: failure.Outcome != fault.Refused}
+	}
+	if answer.Outcome == fault.Refused {
+		f.rejected(answer)
+		return outcome{load: f.load(), err: fault.New(fault.KindShed, "the backend server did not run the request: status %d", answer.Status)}
+	}
+	answer.Load = f.load()
+	return outcome{answer: answer, load: answer.Load, ran: true}
+}
+
+// enter returns when the request may run, or an error when it will not.
+func (f *far) enter(ctx context.Context, r call.Request) (*slots.Run, *fault.Error) {
+	woken := make(chan bool, 1)
+	now := time.Now()
+	ask := slots.Ask{
+		Kind: r.Route, Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, Last: r.Last,
+		Wake: func(run bool) { woken <- run },
+	}
+	if ask.Objective.IsZero() {
+		ask.Objective = r.Deadline
+	}
+	f.mu.Lock()
+	f.watch(now)
+	if err := f.refusal(r); err != nil {
+		f.mu.Unlock()
+		return nil, err
+	}
+	run, verdict := f.gate.Enter(ask, now)
+	wait := f.gate.Estimate(r.Priority, now)
+	f.mu.Unlock()
+	switch verdict {
+	case slots.Start:
+		return run, nil
+	case slots.HandBack:
+		return nil, fault.New(fault.KindHandedBack, "the server is busy or slow at the moment").WithWait(wait)
+	case slots.TurnAway:
+		return nil, overloaded(wait)
+	}
+	return f.wait(ctx, run, ask, woken)
+}
+
+func (f *far) wait(ctx context.Context, run *slots.Run, ask slots.Ask, woken <-chan bool) (*slots.Run, *fault.Error) {
+	late := time.NewTimer(time.Until(ask.Objective))
+	defer late.Stop()
+	started := false
+	select {
+	case started = <-woken:
+		if started {
+			return run, nil
+		}
+	case <-late.C:
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	f.gate.Leave(run, false, time.Now())
+	wait := f.gate.Estimate(ask.Priority, time.Now())
+	f.mu.Unlock()
+	return nil, overloaded(wait)
+}
+
+func overloaded(wait time.Duration) *fault.Error {
+	return fault.New(fault.KindOverloaded, "no slot of a server becomes free in time").WithWait(max(wait, minRetryAfter))
+}
+
+// refusal tells why the server takes no request at all.
+func (f *far) refusal(r call.Request) *fault.Error {
+	switch {
+	case f.server.ID == "" || f.lost:
+		return fault.New(fault.KindNoServer, "no server runs beside node %s", f.Node).WithWait(minRetryAfter)
+	case r.Service != f.Service:
+		return fault.New(fault.KindNoServer, "the server beside node %s is of service %q", f.Node, f.Service)
+	case f.server.State != roster.Ready:
+		return fault.New(fault.KindDraining, "server %s is leaving", f.server.ID).WithWait(minRetryAfter)
+	}
+	return nil
+}
+
+// run sends the request to the server. What may not be repeated goes on when
+// its caller leaves: half an order is worse than an unread answer.
+func (f *far) run(ctx context.Context, r call.Request) (*call.Answer, *fault.Error) {
+	if !r.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(lateAnswer))
+	f.mu.Lock()
+	r.Target = f.server.ID
+	f.mu.Unlock()
+	answer, err := f.pool.Do(ctx, f.Server, r)
+	if err != nil {
+		cancel()
+		failure := fault.As(err)
+		if failure.Outcome == fault.Refused {
+			f.unreachable()
+		}
+		return nil, failure
+	}
+	if answer.Body == nil {
+		cancel()
+		return answer, nil
+	}
+	answer.Body = &closingBody{readCloser: answer.Body, done: cancel}
+	return answer, nil
+}
+
+// lateAnswer is how long after the deadline an answer is still awaited: a server
+// that gives up at the deadline says so a moment later.
+const lateAnswer = 300 * time.Millisecond
+
+func (f *far) leave(run *slots.Run, answer *call.Answer, failure *fault.Error) {
+	worked := failure == nil && answer.Outcome != fault.Refused && answer.Status < http.StatusInternalServerError
+	f.mu.Lock()
+	f.gate.Leave(run, worked, time.Now())
+	f.mu.Unlock()
+}
+
+// rejected learns from an answer that says the request was not run.
+func (f *far) rejected(answer *call.Answer) {
+	if answer.Status != http.StatusMisdirectedRequest {
+		return
+	}
+	f.mu.Lock()
+	id := f.server.ID
+	f.server = roster.Server{}
+	f.mu.Unlock()
+	f.Log.WithField("server", id).Warn("another server has taken over the address")
+	f.changed()
+	go f.find()
+}
+
+// unreachable is called when the server accepts no connection.
+func (f *far) unreachable() {
+	f.mu.Lock()
+	known := f.lost
+	f.lost = true
+	id := f.server.ID
+	f.mu.Unlock()
+	if known {
+		return
+	}
+	f.Log.WithField("server", id).Warn("the backend server accepts no connection")
+	go f.find()
+}
+
+// load returns the figures that ride on answers.
+func (f *far) load() call.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.gate.Load(time.Now())
+	return call.Load{
+		InFlight: l.Running, Queued: l.Waiting, Slots: l.Slots, Limit: l.Limit, Pace: l.Pace, Wait: l.Wait,
+		Draining: f.server.State != roster.Ready || f.lost,
+	}
+}
+
+// observe takes the load that the server tells.
+func (f *far) observe(load backend.ServerLoad) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.Pace.Observe(load.Pace, time.Now())
+	if load.Slots > 0 {
+		f.gate.Limit.SetSlots(load.Slots)
+	}
+}
+
+// closingBody calls done once when the body is closed.
+type closingBody struct {
+	readCloser
+	done func()
+	once sync.Once
+}
+
+type readCloser interface {
+	Read(p []byte) (int, error)
+	Close() error
+}
+
+// Close implements io.Closer.
+func (b *closingBody) Close() error {
+	err := b.readCloser.Close()
+	b.once.Do(b.done)
+	return err
+}
--- /dev/null
+++ b/internal/mesh/message.go
@@ -0,0 +1,75 @@
+package mesh
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/roster"
+)
+
+// message is the head of what one node sends another. Exactly one field is set.
+type message struct {
+	Call *call.Request `msgpack:"c,omitempty"`
+	News *news         `msgpack:"n,omitempty"`
+	// Fetch asks for the configuration.
+	Fetch bool `msgpack:"f,omitempty"`
+}
+
+// news tells a peer what changed.
+type news struct {
+	Entry roster.Entry `msgpack:"e"`
+	// Version is the configuration that the sender has.
+	Version uint64 `msgpack:"v"`
+	// Ahead is set in a reply to a node whose name is known with a later start: its
+	// clock has gone back since.
+	Ahead int64 `msgpack:"a,omitempty"`
+}
+
+// response is the head of an answer. A non-nil Fault says that there is none.
+type response struct {
+	Fault  *fault.Error `msgpack:"e,omitempty"`
+	Status int          `msgpack:"s,omitempty"`
+	Header http.Header  `msgpack:"h,omitempty"`
+	Length int64        `msgpack:"n,omitempty"`
+	Load   *call.Load   `msgpack:"l,omitempty"`
+	// Ran tells whether the request has reached the backend server.
+	Ran  bool  `msgpack:"r,omitempty"`
+	News *news `msgpack:"w,omitempty"`
+}
+
+func encode(v any) ([]byte, error) {
+	raw, err := msgpack.Marshal(v)
+	return raw, eris.Wrap(err, "encode a message to a peer")
+}
+
+func decodeMessage(raw []byte) (message, error) {
+	var m message
+	if err := msgpack.Unmarshal(raw, &m); err != nil {
+		return m, fault.New(fault.KindBadRequest, "message of a peer: %v", err).
+			WithRemedy("run the same version on all nodes")
+	}
+	if r := m.Call; r != nil {
+		now := time.Now()
+		r.Deadline = now.Add(r.Timeout)
+		if r.Aim != 0 {
+			r.Objective = now.Add(r.Aim)
+		}
+	}
+	return m, nil
+}
+
+// encodeCall writes what is left of the times, because clocks differ.
+func encodeCall(r call.Request, now time.Time) ([]byte, error) {
+	r.Timeout = r.Deadline.Sub(now)
+	if !r.Objective.IsZero() {
+		if r.Aim = r.Objective.Sub(now); r.Aim == 0 {
+			r.Aim = -1
+		}
+	}
+	return encode(message{Call: &r})
+}
--- /dev/null
+++ b/internal/mesh/news.go
@@ -0,0 +1,290 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/roster"
+)
+
+const (
+	// newsTimeout bounds one message to a peer.
+	newsTimeout = time.Second
+	// newsRetry is how often peers that could not be told are tried again.
+	newsRetry = time.Second
+	// newsTries is how often a peer is tried before its entry is dropped: a host
+	// that does not answer for that long is gone, and tells of itself if it returns.
+	newsTries = 15
+	// publishRetry and publishMost bound the wait between writes that failed.
+	publishRetry = 300 * time.Millisecond
+	publishMost  = 5 * time.Second
+	// maxConfiguration bounds a configuration that a peer passes on.
+	maxConfiguration = 8 << 20
+)
+
+// announcer tells the registry and all other nodes what this node says of itself.
+type announcer struct {
+	*Options
+	directory *directory
+	follower  *follower
+	peers     *peer.Client
+
+	mu  sync.Mutex
+	own roster.Entry
+	// owed counts the tries for peers that do not know the newest entry.
+	owed map[string]int
+	// published is the change that the registry has.
+	published  uint64
+	publishing bool
+	telling    bool
+}
+
+// update changes what the node says of itself.
+func (a *announcer) update(ctx context.Context, change func(e *roster.Entry)) {
+	a.mu.Lock()
+	change(&a.own)
+	a.own.Change++
+	own := a.own
+	a.mu.Unlock()
+	a.directory.merge([]roster.Entry{own}, time.Now())
+	a.tellAll(ctx)
+	a.publish(ctx)
+}
+
+func (a *announcer) entry() roster.Entry {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.own
+}
+
+// tellAll sends the newest entry to every other node.
+func (a *announcer) tellAll(ctx context.Context) {
+	a.mu.Lock()
+	if a.owed == nil {
+		a.owed = make(map[string]int)
+	}
+	for _, e := range a.directory.others() {
+		a.owed[e.Node] = newsTries
+	}
+	a.mu.Unlock()
+	a.tellOwed(ctx)
+}
+
+// tellOwed tries the peers that do not know the newest entry, and again later
+// while some are left.
+func (a *announcer) tellOwed(ctx context.Context) {
+	a.mu.Lock()
+	names := make([]string, 0, len(a.owed))
+	for name := range a.owed {
+		names = append(names, name)
+	}
+	start := len(names) > 0 && !a.telling
+	a.telling = a.telling || start
+	a.mu.Unlock()
+	for _, name := range names {
+		go a.tell(ctx, name)
+	}
+	if start {
+		time.AfterFunc(newsRetry, func() {
+			a.mu.Lock()
+			a.telling = false
+			a.mu.Unlock()
+			if ctx.Err() == nil {
+				a.tellOwed(ctx)
+			}
+		})
+	}
+}
+
+// tell sends the newest entry to one node and takes what it says of itself.
+func (a *announcer) tell(ctx context.Context, name string) {
+	to, ok := a.directory.entry(name)
+	if !ok {
+		a.settle(name, 0)
+		return
+	}
+	own := a.entry()
+	reply, err := a.exchange(ctx, to, own)
+	if err != nil {
+		a.failed(ctx, to)
+		return
+	}
+	a.settle(name, own.Change)
+	if reply == nil {
+		return
+	}
+	a.hear(ctx, *reply)
+	if reply.Ahead >= own.Start {
+		a.overtake(ctx, reply.Ahead)
+	}
+}
+
+// overtake makes this process count as later than an earlier one of its name.
+func (a *announcer) overtake(ctx context.Context, start int64) {
+	a.mu.Lock()
+	behind := a.own.Start <= start
+	if behind {
+		a.own.Start = start + 1
+	}
+	a.mu.Unlock()
+	if behind {
+		a.Log.WithField("start", start).Warn("clock is behind that of an earlier process of this node")
+		a.update(ctx, func(*roster.Entry) {})
+	}
+}
+
+// tellBack answers the news of another node.
+func (a *announcer) tellBack(n news) *news {
+	back := &news{Entry: a.entry(), Version: a.follower.version()}
+	if e, ok := a.directory.entry(n.Entry.Node); ok && e.Start > n.Entry.Start {
+		back.Ahead = e.Start
+	}
+	return back
+}
+
+func (a *announcer) exchange(ctx context.Context, to roster.Entry, own roster.Entry) (*news, error) {
+	head, err := encode(message{News: &news{Entry: own, Version: a.follower.version()}})
+	if err != nil {
+		return nil, err
+	}
+	reply, err := a.ask(ctx, to, head)
+	if err != nil {
+		return nil, err
+	}
+	return reply.News, nil
+}
+
+func (a *announcer) ask(ctx context.Context, to roster.Entry, head []byte) (response, error) {
+	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	defer cancel()
+	answer, err := a.peers.Call(ctx, to.Addr, peer.Request{Head: head, Impatient: true})
+	if err != nil {
+		return response{}, err
+	}
+	defer answer.Body.Close()
+	var reply response
+	return reply, msgpack.Unmarshal(answer.Head, &reply)
+}
+
+// settle notes that a peer knows a change; zero means that it needs none.
+func (a *announcer) settle(name string, change uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if change == 0 || change == a.own.Change {
+		delete(a.owed, name)
+	}
+}
+
+// failed counts a try; a peer that was tried often enough is forgotten.
+func (a *announcer) failed(ctx context.Context, to roster.Entry) {
+	a.mu.Lock()
+	left, owed := a.owed[to.Node]
+	if owed {
+		left--
+		a.owed[to.Node] = left
+	}
+	a.mu.Unlock()
+	a.directory.unreachable(to.Node, time.Now())
+	if !owed || left > 0 {
+		return
+	}
+	a.Log.WithField("node", to.Node).WithField("addr", to.Addr).Warn("node does not answer and is forgotten")
+	a.settle(to.Node, 0)
+	a.directory.forget(to.Node)
+	if err := a.Registry.Withdraw(ctx, to); err != nil {
+		a.Log.WithError(err).WithField("node", to.Node).Warn("entry of a lost node stays")
+	}
+}
+
+// hear takes what another node says of itself.
+func (a *announcer) hear(ctx context.Context, n news) {
+	known := a.directory.merge([]roster.Entry{n.Entry}, time.Now())
+	for _, e := range known {
+		a.Log.WithField("node", e.Node).WithField("server", e.Server).WithField("state", string(e.State)).
+			WithField("stopping", e.Stopping).WithField("change", e.Change).Info("node told of itself")
+	}
+	if n.Version > a.follower.version() {
+		go a.fetch(ctx, n.Entry)
+	}
+}
+
+// fetch takes a newer configuration from another node.
+func (a *announcer) fetch(ctx context.Context, from roster.Entry) {
+	err := a.fetchFrom(ctx, from)
+	if err != nil {
+		a.Log.WithError(err).WithField("node", from.Node).Warn("configuration of another node not taken")
+	}
+}
+
+func (a *announcer) fetchFrom(ctx context.Context, from roster.Entry) error {
+	head, err := encode(message{Fetch: true})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	defer cancel()
+	answer, err := a.peers.Call(ctx, from.Addr, peer.Request{Head: head, Impatient: true})
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxConfiguration))
+	if err != nil {
+		return eris.Wrap(err, "read the configuration of another node")
+	}
+	document, err := a.Registry.Decode(raw)
+	if err != nil {
+		return err
+	}
+	a.follower.apply(Versioned{Document: document, Raw: raw}, "node "+from.Node)
+	return nil
+}
+
+// publish writes the newest entry to the registry, and again until it is there.
+func (a *announcer) publish(ctx context.Context) {
+	a.mu.Lock()
+	start := !a.publishing
+	a.publishing = true
+	a.mu.Unlock()
+	if start {
+		go a.publishLoop(ctx)
+	}
+}
+
+func (a *announcer) publishLoop(ctx context.Context) {
+	wait := publishRetry
+	for {
+		own := a.entry()
+		err := a.Registry.Publish(ctx, own)
+		a.mu.Lock()
+		if err == nil {
+			a.published = own.Change
+		}
+		if err == nil && a.own.Change == own.Change || ctx.Err() != nil {
+			a.publishing = false
+			a.mu.Unlock()
+			return
+		}
+		a.mu.Unlock()
+		if err != nil {
+			a.Log.WithError(err).WithField("change", own.Change).Warn("own entry not written")
+			sleep(ctx, spread(wait))
+			wait = min(2*wait, publishMost)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/mesh/node.go
@@ -0,0 +1,277 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/caller"
+	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/route"
+)
+
+// Node is one process of the system, beside one backend server.
+type Node struct {
+	Options
+
+	directory directory
+	far       far
+	entry     entry
+	follower  follower
+	announcer announcer
+	callers   caller.Server
+	peers     peer.Client
+	serving   peer.Server
+
+	// running ends when the node stops.
+	running  context.Context
+	cancel   context.CancelFunc
+	stopping atomic.Bool
+	joined   atomic.Bool
+	// inFlight counts requests of peers.
+	inFlight atomic.Int64
+}
+
+const (
+	// tickInterval is how often closed caller connections are looked for; a request
+	// whose caller left may go on for half a second.
+	tickInterval = 100 * time.Millisecond
+	// joinRetry is how often the list of nodes is read until it is there.
+	joinRetry = 300 * time.Millisecond
+	// findPatience is how long a starting node waits for its server's name before it
+	// tells of itself without one.
+	findPatience = 400 * time.Millisecond
+	// stopNotice is how long a stopping node goes on accepting: callers are moved
+	// away after two probes of a second each.
+	stopNotice = 3 * time.Second
+	// stopMargin is the part of the grace period that is kept for the exit.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Start binds the addresses and begins to serve.
+func (n *Node) Start() error {
+	n.running, n.cancel = context.WithCancel(context.Background())
+	if n.Costs == (placement.Costs{}) {
+		n.Costs = placement.DefaultCosts
+	}
+	n.assemble()
+	if err := n.serving.Listen(n.Peer); err != nil {
+		return err
+	}
+	if err := n.callers.Listen(n.Caller); err != nil {
+		return err
+	}
+	n.announcer.own.Addr = n.serving.Addr()
+	go n.follower.run(n.running)
+	go n.join()
+	go n.tickLoop()
+	n.Log.WithField("node", n.Node()).WithField("caller", n.callers.Addr()).WithField("peer", n.serving.Addr()).
+		WithField("service", n.Service).Info("node started")
+	return nil
+}
+
+// Node returns the name of the node.
+func (n *Node) Node() string { return n.Options.Node }
+
+func (n *Node) assemble() {
+	o := &n.Options
+	n.directory.Options = o
+	n.far.Options, n.far.changed = o, n.serverChanged
+	n.far.pool.Names, n.far.pool.Observe = o.Names, n.far.observe
+	n.entry = entry{Options: o, directory: &n.directory, far: &n.far, peers: &n.peers}
+	n.follower.Options, n.follower.applied, n.follower.outage = o, n.applied, n.askPeer
+	n.announcer.Options, n.announcer.directory, n.announcer.follower, n.announcer.peers = o, &n.directory, &n.follower, &n.peers
+	n.announcer.own = roster.Entry{
+		Node: o.Node, Start: time.Now().UnixMilli(), Domain: o.Domain, Region: o.Region, Service: o.Service,
+	}
+	n.peers.Hello = []byte(o.Node)
+	n.serving.Handler = n.answer
+	n.callers.Calls, n.callers.Dialect = n, o.Dialect
+}
+
+// Ready reports whether callers should come to this node.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.follower.version() > 0 && n.joined.Load()
+}
+
+// Report takes what the backend server says of itself; it returns false for a
+// report that is older than what is known.
+func (n *Node) Report(r roster.Report) bool { return n.far.report(r) }
+
+// Left is called when the backend server says that it is gone.
+func (n *Node) Left(id string, born int64) { n.far.left(id, born) }
+
+// Serve implements call.Server for requests of callers.
+func (n *Node) Serve(ctx context.Context, r call.Request) (*call.Answer, error) {
+	table := n.follower.table.Load()
+	if table == nil {
+		return nil, fault.New(fault.KindStopped, "node %s has no configuration yet", n.Node()).WithWait(joinRetry)
+	}
+	now := time.Now()
+	rt, service, ok := table.Find(r.Host, pathOf(r.URI))
+	if !ok {
+		return nil, fault.New(fault.KindNotFound, "no route for host %q and path %.80q", r.Host, r.URI)
+	}
+	p := passage{entry: &n.entry, request: n.entry.place(r, rt, service, now), attempts: rt.Attempts}
+	ctx, cancel := context.WithDeadline(ctx, p.request.Deadline)
+	answer, err := p.run(ctx)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if answer.Body == nil {
+		cancel()
+		return answer, nil
+	}
+	answer.Body = &closingBody{readCloser: answer.Body, done: cancel}
+	return answer, nil
+}
+
+func pathOf(uri string) string {
+	for i := range len(uri) {
+		if uri[i] == '?' {
+			return uri[:i]
+		}
+	}
+	return uri
+}
+
+// answer serves another node.
+func (n *Node) answer(ctx context.Context, in peer.Incoming) peer.Reply {
+	m, err := decodeMessage(in.Head)
+	if err != nil {
+		return n.reply(response{Fault: fault.As(err)}, nil)
+	}
+	switch {
+	case m.News != nil:
+		n.announcer.hear(n.running, *m.News)
+		return n.reply(response{News: n.announcer.tellBack(*m.News)}, nil)
+	case m.Fetch:
+		return n.reply(response{}, n.follower.current())
+	case m.Call == nil:
+		return n.reply(response{Fault: fault.New(fault.KindBadRequest, "message of a peer asks for nothing")}, nil)
+	}
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	r := *m.Call
+	r.Body = in.Body
+	out := n.far.serve(ctx, r)
+	head := response{Fault: out.err, Ran: out.ran, Load: &out.load}
+	if out.answer == nil {
+		return n.reply(head, nil)
+	}
+	head.Status, head.Header, head.Length = out.answer.Status, out.answer.Header, out.answer.Length
+	reply := n.reply(head, out.answer.Whole)
+	if out.answer.Body != nil {
+		reply.Rest = out.answer.Body
+	}
+	return reply
+}
+
+func (n *Node) reply(head response, body []byte) peer.Reply {
+	raw, err := encode(head)
+	if err != nil {
+		n.Log.WithError(err).Error("reply to a peer not encoded")
+	}
+	return peer.Reply{Head: raw, Whole: body}
+}
+
+// join reads the list of nodes, tells of this node, and is told of the others.
+func (n *Node) join() {
+	for start := time.Now(); time.Since(start) < findPatience && !n.far.known(); {
+		sleep(n.running, findPatience/10)
+	}
+	n.announcer.update(n.running, func(e *roster.Entry) { n.far.describe(e) })
+	for n.running.Err() == nil {
+		members, err := n.Registry.Members(n.running)
+		if err == nil {
+			n.directory.merge(members, time.Now())
+			if e, ok := n.directory.entry(n.Node()); ok && e.Start > n.announcer.entry().Start {
+				n.announcer.overtake(n.running, e.Start)
+			}
+			break
+		}
+		n.Log.WithError(err).Warn("list of nodes not read")
+		sleep(n.running, spread(joinRetry))
+	}
+	n.joined.Store(true)
+	n.Log.WithField("nodes", n.directory.nodes()).Info("node joined")
+	n.announcer.tellAll(n.running)
+}
+
+// serverChanged is called when other nodes need to know more of the server.
+func (n *Node) serverChanged() {
+	if !n.joined.Load() && n.announcer.entry().Change == 0 {
+		return // join tells of it
+	}
+	n.announcer.update(n.running, func(e *roster.Entry) { n.far.describe(e) })
+}
+
+// applied is called when a configuration is in force.
+func (n *Node) applied(t *route.Table, _ string) {
+	if s, ok := t.Service(n.Service); ok {
+		n.far.setHealth(s.Health)
+	}
+}
+
+// askPeer asks any other node for a newer configuration while the registry does
+// not answer.
+func (n *Node) askPeer(ctx context.Context) {
+	others := n.directory.others()
+	if len(others) == 0 {
+		return
+	}
+	to := others[rand.IntN(len(others))]
+	reply, err := n.announcer.exchange(ctx, to, n.announcer.entry())
+	if err == nil && reply != nil {
+		n.announcer.hear(ctx, *reply)
+	}
+}
+
+func (n *Node) tickLoop() {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			n.callers.Tick()
+		case <-n.running.Done():
+			return
+		}
+	}
+}
+
+// Stop ends gracefully: other nodes are told first, then callers, and requests
+// in flight end.
+func (n *Node) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), n.Bounds.Grace-stopMargin)
+	defer cancel()
+	n.Log.WithField("node", n.Node()).Info("node stopping")
+	n.stopping.Store(true)
+	n.announcer.update(n.running, func(e *roster.Entry) { e.Stopping = true })
+	left := n.callers.Drain(ctx, stopNotice)
+	for n.inFlight.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, tickInterval/4)
+	}
+	n.Log.WithField("node", n.Node()).WithField("left", left).WithField("peers", n.inFlight.Load()).Info("node stopped")
+	n.cancel()
+	n.callers.Close()
+	n.serving.Close()
+	n.peers.Close()
+	n.far.pool.Close()
+}
+
+// statusOK is what a probe of readiness gets.
+var statusOK = map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable}
+
+// ReadyStatus returns the status for a probe of readiness.
+func (n *Node) ReadyStatus() int { return statusOK[n.Ready()] }
+
+// CallerAddr returns the address on which callers are served.
+func (n *Node) CallerAddr() string { return n.callers.Addr() }
--- /dev/null
+++ b/internal/mesh/options.go
@@ -0,0 +1,73 @@
+// Package mesh assembles a node that follows a platform: configuration and
+// membership come from outside, and requests go from the node where they arrive
+// to the node beside the server that runs them.
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/vanillasail/vanillasail/internal/backend"
+	"github.com/vanillasail/vanillasail/internal/caller"
+	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/route"
+)
+
+// Registry is where the configuration and the entries of nodes last.
+type Registry interface {
+	// Members returns the entries of all nodes.
+	Members(ctx context.Context) ([]roster.Entry, error)
+	// Publish replaces the entry of this node.
+	Publish(ctx context.Context, e roster.Entry) error
+	// Withdraw removes the entry of a node unless it has changed.
+	Withdraw(ctx context.Context, e roster.Entry) error
+	// Configuration returns the newest configuration and its raw form.
+	Configuration(ctx context.Context) (Versioned, error)
+	// Changed returns the next configuration after a position; it waits for one
+	// and returns the zero value when none came.
+	Changed(ctx context.Context, position uint64) (Versioned, error)
+	// Decode reads the raw form that another node passes on.
+	Decode(raw []byte) (*route.Document, error)
+}
+
+// Versioned is a configuration as it was read.
+type Versioned struct {
+	// Document is nil when there is no valid configuration.
+	Document *route.Document
+	Raw      []byte
+	// Position is where to wait for the next change.
+	Position uint64
+}
+
+// Bounds are the limits that the platform sets.
+type Bounds struct {
+	// Grace is how long a stopping process may take.
+	Grace time.Duration
+	// RetryRatio, RetrySpan and RetryFixed bound the second sends of all nodes.
+	RetryRatio, RetryFixed float64
+	RetrySpan              time.Duration
+}
+
+// Options are the settings of one node.
+type Options struct {
+	// Node is unique and stays the same over restarts.
+	Node           string
+	Region, Domain string
+	// Service and Server (IP:port) are those of the backend server beside the node.
+	Service, Server string
+	// Caller and Peer are the addresses to listen on (IP:port).
+	Caller, Peer string
+	// Dialect is how callers name what they want.
+	Dialect caller.Dialect
+	// Names are the headers of backend servers.
+	Names    backend.Names
+	Bounds   Bounds
+	Registry Registry
+	// Costs are those of moving a request; zero means placement.DefaultCosts.
+	Costs placement.Costs
+	// Log is never nil.
+	Log log.Interface
+}
--- /dev/null
+++ b/internal/mesh/passage.go
@@ -0,0 +1,220 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/placement"
+)
+
+// passage is the way of one request to a server, over all sends.
+type passage struct {
+	*entry
+	request call.Request
+	// attempts bounds the servers that the request may reach.
+	attempts int
+
+	start time.Time
+	sends int
+	// reached counts the servers that the request has reached.
+	reached int
+	// back lists servers that handed the request back, failed those that will not
+	// be tried again.
+	back, failed []string
+	// ran is set when the request may have run.
+	ran  bool
+	last *fault.Error
+	// spare is an answer that is delivered if nothing better comes.
+	spare *call.Answer
+}
+
+// run returns the answer, or an error whose outcome holds for all sends.
+func (p *passage) run(ctx context.Context) (*call.Answer, error) {
+	p.start = time.Now()
+	p.count(p.request.Service, p.start)
+	for p.sends < maxSends {
+		if ctx.Err() != nil {
+			break
+		}
+		choice, last, ok := p.choose(time.Now())
+		if !ok {
+			break
+		}
+		p.sends++
+		out := p.send(ctx, p.request.WithTarget("", last), choice)
+		if answer, done := p.judge(ctx, choice, last, out); done {
+			return answer, nil
+		}
+		if p.ended(ctx) {
+			break
+		}
+	}
+	return p.finish(ctx)
+}
+
+// choose picks a server, and tells whether the request should wait there.
+func (p *passage) choose(now time.Time) (choice placement.Choice, last, ok bool) {
+	var buf [32]placement.Server
+	servers := p.directory.servers(p.request.Service, buf[:0])
+	servers = p.without(servers)
+	ask := placement.Request{Bytes: len(p.request.Body) + usualAnswer, Work: p.work(), Tried: p.back}
+	if len(p.back) < maxHandBacks {
+		choice, ok = p.Costs.Pick(servers, ask, now)
+	}
+	if !ok {
+		ask.Again = true
+		choice, ok = p.Costs.Pick(servers, ask, now)
+		return choice, true, ok
+	}
+	return choice, choice.Others == 0 || choice.Server.Full(now), ok
+}
+
+func (p *passage) work() time.Duration {
+	p.far.mu.Lock()
+	defer p.far.mu.Unlock()
+	return p.far.gate.Work(p.request.Route)
+}
+
+// without leaves out the servers that failed.
+func (p *passage) without(servers []placement.Server) []placement.Server {
+	if len(p.failed) == 0 {
+		return servers
+	}
+	kept := servers[:0]
+	for _, s := range servers {
+		if !contains(p.failed, s.ID) {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+func contains(list []string, id string) bool {
+	for _, s := range list {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
+
+// judge takes the outcome of one send. It returns true with the answer for the
+// caller.
+func (p *passage) judge(ctx context.Context, choice placement.Choice, last bool, out outcome) (*call.Answer, bool) {
+	node := choice.Server.ID
+	if out.answer != nil {
+		p.reached++
+		p.ran = true
+		if out.answer.Status < http.StatusInternalServerError || !p.mayRepeat(ctx) {
+			return out.answer, true
+		}
+		p.keep(out.answer)
+		p.failed = append(p.failed, node)
+		return nil, false
+	}
+	p.last = out.err
+	p.note(choice, last, out.err)
+	switch {
+	case out.err.Kind == fault.KindHandedBack:
+		p.back = append(p.back, node)
+	case out.ran:
+		p.reached++
+		p.ran = true
+		p.failed = append(p.failed, node)
+	default:
+		if out.err.Kind == fault.KindShed {
+			p.reached++
+		}
+		p.failed = append(p.failed, node)
+	}
+	return nil, false
+}
+
+// ended reports whether the request must not be sent again.
+func (p *passage) ended(ctx context.Context) bool {
+	switch {
+	case p.spare != nil:
+		return false // judge has taken the budget
+	case p.last == nil:
+		return true
+	case p.last.Outcome != fault.Refused || p.ran:
+		return !p.mayRepeat(ctx)
+	case p.last.Kind == fault.KindOverloaded:
+		return true
+	case p.last.Kind == fault.KindShed:
+		return p.reached >= p.attempts || !p.again(p.request.Service, time.Now())
+	}
+	return false
+}
+
+// mayRepeat reports whether a request that may have run may be sent again.
+func (p *passage) mayRepeat(ctx context.Context) bool {
+	now := time.Now()
+	return p.request.Idempotent && ctx.Err() == nil && p.reached < p.attempts &&
+		now.Add(p.work()).Before(p.request.Deadline) && p.again(p.request.Service, now)
+}
+
+// keep holds a failed answer of a server for the case that nothing better comes.
+func (p *passage) keep(answer *call.Answer) {
+	if p.spare != nil {
+		_ = p.spare.Open().Close()
+	}
+	p.spare = answer
+}
+
+// finish returns the error of the request as a whole.
+func (p *passage) finish(ctx context.Context) (*call.Answer, error) {
+	if p.spare != nil {
+		return p.spare, nil
+	}
+	err := p.last
+	switch {
+	case ctx.Err() != nil:
+		err = fault.New(fault.KindDeadline, "no answer before the deadline, or the caller left")
+		if !p.ran {
+			err = err.WithOutcome(fault.Refused)
+		}
+	case err == nil:
+		err = fault.New(fault.KindNoServer, "no backend server of service %q is known", p.request.Service)
+	}
+	if p.ran && err.Outcome == fault.Refused {
+		err = fault.New(fault.KindServerLost, "%s", err.Detail)
+	}
+	if !p.ran && err.Outcome == fault.Refused && err.Kind != fault.KindDeadline {
+		err = overloaded(spread(err.Wait)).WithOutcome(fault.Refused)
+		if p.last != nil {
+			err.Detail = p.last.Detail
+		}
+	}
+	p.logEnd(err)
+	return nil, err
+}
+
+// spread makes callers that were turned away together come back apart.
+func spread(wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	return wait + time.Duration(rand.Int64N(int64(wait)))
+}
+
+// note logs a send without an answer.
+func (p *passage) note(choice placement.Choice, last bool, err *fault.Error) {
+	age := time.Duration(-1)
+	if choice.Known {
+		age = time.Since(choice.Server.Seen)
+	}
+	p.Log.WithField("id", p.request.ID).WithField("route", p.request.Route).WithField("to", choice.Server.ID).
+		WithField("running", choice.Server.Running).WithField("limit", choice.Server.Limit).WithField("pace", choice.Server.Pace).
+		WithField("age", age).WithField("last", last).WithField("outcome", string(err.Kind)).
+		WithField("ran", err.Outcome.String()).Debug("not served")
+}
+
+func (p *passage) logEnd(err *fault.Error) {
+	p.Log.WithField("id", p.request.ID).WithField("route", p.request.Route).WithField("service", p.request.Service).
+		WithField("kind", string(err.Kind)).WithField("status", err.Status).WithField("outcome", err.Outcome.String()).
+		WithField("sends", p.sends).WithField("reached", p.reached).WithField("took", time.Since(p.start)).
+		WithField("left", time.Until(p.request.Deadline)).WithField("wait", err.Wait).WithField("cause", err.Detail).Warn("request failed")
+}
--- a/internal/store/endpoint.go
+++ b/internal/store/endpoint.go
@@ -136,6 +136,8 @@
 		return Reply{Header: resp.Header, Body: body}, nil
 	case code == http.StatusNotFound:
 		return Reply{}, fault.New(fault.KindNotFound, "%s %s: no such row or object", r.Method, r.Path)
+	case code == http.StatusGone:
+		return Reply{}, fault.New(fault.KindExpired, "%s %s: the history is no longer there", r.Method, r.Path)
 	case code == http.StatusPreconditionFailed:
 		return Reply{}, fault.New(fault.KindConflict, "%s %s: changed by another writer", r.Method, r.Path).
 			WithRemedy("read it again, then decide")
@@ -149,7 +151,7 @@
 	}
 }
 
-func (r Request) write() bool { return r.Method == http.MethodPut || r.Method == http.MethodDelete }
+func (r Request) write() bool { return r.Method != http.MethodGet && r.Method != http.MethodHead }
 
 // lost classifies a request without a usable reply.
 func lost(r Request, sent bool, err error) error {
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -61,6 +61,11 @@
 	KindWriteUnknown   Kind = "write-unknown"
 	KindForbidden      Kind = "forbidden"
 	KindInternal       Kind = "internal"
+	// KindHandedBack is exchanged between nodes only.
+	KindHandedBack Kind = "handed-back"
+	KindExpired    Kind = "expired"
+	// KindShed is a request that the backend server itself turned away.
+	KindShed Kind = "shed"
 )
 
 // Error is a typed error with its remedy. Its zero value is an internal error
@@ -159,5 +164,8 @@
 	KindNotFound:       {Kind: KindNotFound, Status: http.StatusNotFound, Outcome: Refused, Remedy: "check the name"},
 	KindWriteUnknown:   {Kind: KindWriteUnknown, Status: http.StatusBadGateway, Outcome: Unknown, Remedy: "the write may have taken effect; read the row back before writing again"},
 	KindForbidden:      {Kind: KindForbidden, Status: http.StatusForbidden, Outcome: Refused, Remedy: "use a token whose role allows this"},
+	KindHandedBack:     {Kind: KindHandedBack, Status: http.StatusServiceUnavailable, Outcome: Refused, Remedy: "ask another server"},
+	KindShed:           {Kind: KindShed, Status: http.StatusServiceUnavailable, Outcome: Refused, Remedy: "retry after the stated wait"},
+	KindExpired:        {Kind: KindExpired, Status: http.StatusGone, Outcome: Refused, Remedy: "read the rows again and follow from there"},
 	KindInternal:       {Kind: KindInternal, Status: http.StatusInternalServerError, Outcome: Unknown, Remedy: "report the request ID to the operators"},
 }
