Pause between accepts also while the server stops

Cause: after the listener was told that the server stops, its accept failed at once, and nbhttp's loop runs until the engine ends.

--- a/internal/http1/listener.go
+++ b/internal/http1/listener.go
@@ -21,15 +21,12 @@
 // Accept implements net.Listener.
 func (l *patientListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	switch {
-	case err == nil:
-	case errors.Is(err, net.ErrClosed):
+	if err != nil && errors.Is(err, net.ErrClosed) {
 		<-l.stopped
-	default:
-		select {
-		case <-time.After(acceptPause):
-		case <-l.stopped:
-		}
+	}
+	if err != nil {
+		// The engine ends the loop only some time after it was told to stop.
+		time.Sleep(acceptPause)
 	}
 	return conn, err
 }
