Hand back at servers whose answers fail; leave room for calls in the retry bound

Change: the node beside a server follows the share of failed results and hands requests back but for a trial each 100 ms; second sends use a quarter of the bound instead of 0.4.

--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -26,8 +26,9 @@
 	// back; less would return before anything has changed.
 	minRetryAfter = 50 * time.Millisecond
 	// budgetShare is the part of the platform's bound on second sends that is
-	// used: the calls that a second run makes count again at the services called.
-	budgetShare = 0.4
+	// used: the calls that a second run makes count again at the services called,
+	// which has to hold for two calls a run with as much of their own.
+	budgetShare = 0.25
 	// usualAnswer is the assumed size of an answer in bytes.
 	usualAnswer = 2 << 10
 )
--- a/internal/mesh/far.go
+++ b/internal/mesh/far.go
@@ -161,9 +161,20 @@
 
 func (f *far) leave(run *slots.Run, answer *call.Answer, failure *fault.Error) {
 	worked := failure == nil && answer.Outcome != fault.Refused && answer.Status < http.StatusInternalServerError
+	// A caller that left says nothing of the server; a server that misses the
+	// deadline of a request does.
+	left := failure != nil && failure.Kind == fault.KindDeadline && time.Now().Before(run.Deadline)
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.gate.Leave(run, worked, time.Now())
-	f.mu.Unlock()
+	ailing := f.gate.Health.Ailing()
+	if !left {
+		f.gate.Health.Observe(!worked)
+	}
+	if now := f.gate.Health.Ailing(); now != ailing {
+		f.Log.WithField("server", f.server.ID).WithField("ailing", now).WithField("failed", f.gate.Health.Share()).
+			Warn("health of the backend server changed")
+	}
 }
 
 // rejected learns from an answer that says the request was not run.
--- a/pkg/slots/gate.go
+++ b/pkg/slots/gate.go
@@ -20,6 +20,8 @@
 type Gate struct {
 	Pace  Pace
 	Limit Limit
+	// Health is that of the answers.
+	Health Health
 	// usual holds the mean duration of runs by kind, at the usual pace.
 	usual   map[string]*mean
 	all     mean
@@ -141,7 +143,7 @@
 		free = false
 	}
 	switch {
-	case free && (ask.Last || !g.Pace.Slow(now)):
+	case free && (ask.Last || !g.Pace.Slow(now) && g.Health.Admit(now)):
 		g.start(run, now)
 		return run, Start
 	case !ask.Last:
