--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -23,6 +23,8 @@
 	Pace float64 `msgpack:"p,omitempty"`
 	// Wait is how long a request would wait for a slot.
 	Wait time.Duration `msgpack:"w,omitempty"`
+	// Ailing is set when the server's answers fail often.
+	Ailing bool `msgpack:"a,omitempty"`
 }
 
 // Answer is the answer to one request. Body ends with io.EOF only when the
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -90,6 +90,7 @@
 			s.Mine, s.Avoid = l.since, l.avoid()
 			if !l.seen.IsZero() {
 				s.Seen, s.Running, s.Limit, s.Pace, s.Wait = l.seen, l.load.InFlight, l.load.Limit, l.load.Pace, l.load.Wait
+				s.Ailing = l.load.Ailing
 			}
 		}
 		buf = append(buf, s)
--- a/internal/mesh/far.go
+++ b/internal/mesh/far.go
@@ -211,7 +211,7 @@
 	defer f.mu.Unlock()
 	l := f.gate.Load(time.Now())
 	return call.Load{
-		InFlight: l.Running, Queued: l.Waiting, Slots: l.Slots, Limit: l.Limit, Pace: l.Pace, Wait: l.Wait,
+		InFlight: l.Running, Queued: l.Waiting, Slots: l.Slots, Limit: l.Limit, Pace: l.Pace, Wait: l.Wait, Ailing: f.gate.Health.Ailing(),
 		Draining: f.server.State != roster.Ready || f.lost,
 	}
 }
--- a/internal/mesh/passage.go
+++ b/internal/mesh/passage.go
@@ -62,15 +62,9 @@
 	servers := p.directory.servers(p.request.Service, buf[:0])
 	servers = p.without(servers)
 	ask := placement.Request{Bytes: len(p.request.Body) + usualAnswer, Work: p.work(), Tried: p.back}
-	if len(p.back) < maxHandBacks {
-		choice, ok = p.Costs.Pick(servers, ask, now)
-	}
-	if !ok {
-		ask.Again = true
-		choice, ok = p.Costs.Pick(servers, ask, now)
-		return choice, true, ok
-	}
-	return choice, choice.Others == 0 || choice.Server.Full(now), ok
+	choice, ok = p.Costs.Pick(servers, ask, now)
+	last = choice.Tried || choice.Others == 0 || len(p.back) >= maxHandBacks || choice.Server.Full(now)
+	return choice, last, ok
 }
 
 func (p *passage) work() time.Duration {
@@ -144,13 +138,23 @@
 	case p.last.Outcome != fault.Refused || p.ran:
 		return !p.mayRepeat(ctx)
 	case p.last.Kind == fault.KindOverloaded:
-		return true
+		return !p.roomElsewhere(time.Now())
 	case p.last.Kind == fault.KindShed:
 		return p.reached >= p.attempts || !p.again(p.request.Service, time.Now())
 	}
 	return false
 }
 
+// roomElsewhere reports whether some server may still have room, though the one
+// that seemed best has turned the request away.
+func (p *passage) roomElsewhere(now time.Time) bool {
+	if len(p.failed) > maxTurnAways {
+		return false
+	}
+	choice, _, ok := p.choose(now)
+	return ok && !choice.Tried && !choice.Server.Full(now)
+}
+
 // mayRepeat reports whether a request that may have run may be sent again.
 func (p *passage) mayRepeat(ctx context.Context) bool {
 	now := time.Now()
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -30,7 +30,7 @@
 // where traffic between regions is billed by volume.
 var DefaultCosts = Costs{
 	Travel: [4]time.Duration{0, 300 * time.Microsecond, 2 * time.Millisecond, 17 * time.Millisecond},
-	PerKB:  [4]time.Duration{0, 0, 3 * time.Millisecond, 15 * time.Millisecond},
+	PerKB:  [4]time.Duration{0, 0, time.Millisecond, 8 * time.Millisecond},
 }
 
 // Server is what a node knows of one backend server.
@@ -41,6 +41,8 @@
 	Running, Limit int
 	Pace           float64
 	Wait           time.Duration
+	// Ailing is set when the server's answers fail often.
+	Ailing bool
 	// Seen is when these figures came; zero means never.
 	Seen time.Time
 	// Mine is the number of this node's requests at the server that began after Seen.
@@ -57,10 +59,9 @@
 	Bytes int
 	// Work is the usual duration of such a request.
 	Work time.Duration
-	// Tried lists the servers that have handed the request back or failed.
+	// Tried lists the servers that have handed the request back. What they told
+	// then is known, so that waiting at one of them compares with moving on.
 	Tried []string
-	// Again allows servers that were tried, for a request that must now wait.
-	Again bool
 }
 
 // Choice is the server that was picked, with the numbers that decided.
@@ -69,7 +70,9 @@
 	Score  time.Duration
 	// Known is false when nothing was heard from the server yet.
 	Known bool
-	// Others is the number of servers that could be tried after this one.
+	// Tried is set when the server has handed the request back before.
+	Tried bool
+	// Others is the number of servers that were not tried, without this one.
 	Others int
 }
 
@@ -86,6 +89,8 @@
 	crowd = 25 * time.Millisecond
 	// coldCost is what a server that warms up is worse.
 	coldCost = 40 * time.Millisecond
+	// ailingCost is what a server whose answers fail is worse.
+	ailingCost = 150 * time.Millisecond
 	// jitter breaks ties between equal servers, so that nodes do not all pick the
 	// same one.
 	jitter = 1500 * time.Microsecond
@@ -105,19 +110,20 @@
 	others := 0
 	for i := range servers {
 		s := &servers[i]
-		if !r.Again && contains(r.Tried, s.ID) {
-			continue
+		tried := contains(r.Tried, s.ID)
+		if !tried {
+			others++
 		}
-		if now.Before(s.Avoid) && found {
-			continue
-		}
-		others++
 		score := c.score(s, r, now)
 		if !found || score < best.Score {
-			best.Server, best.Score, best.Known, found = *s, score, !s.Seen.IsZero(), true
+			best = Choice{Server: *s, Score: score, Known: !s.Seen.IsZero(), Tried: tried}
+			found = true
 		}
 	}
-	best.Others = max(others-1, 0)
+	best.Others = others
+	if found && !best.Tried {
+		best.Others--
+	}
 	return best, found
 }
 
@@ -144,6 +150,9 @@
 	busy := float64(s.Running)*freshness + float64(s.Mine)
 	cost := time.Duration(float64(crowd) * busy / float64(limit))
 	cost += max(s.Wait-age, 0)
+	if s.Ailing {
+		cost += ailingCost
+	}
 	if s.Pace >= slowPace && age < paceMemory {
 		left := float64(paceMemory-age) * (1 - 1/s.Pace)
 		cost += min(time.Duration(left), time.Duration(float64(work)*(s.Pace-1)))
--- /dev/null
+++ b/pkg/retry/window_test.go
@@ -0,0 +1,57 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against bursts of second sends that exceed the bound in some window,
+// though each tumbling window keeps it.
+func TestWindowHoldsInEverySlidingSpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := Window{Span: 10 * time.Second, Ratio: 0.2, Fixed: 5}
+		start := time.Unix(1000, 0)
+		now := start
+		type event struct {
+			at    time.Time
+			extra bool
+		}
+		var events []event
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
+			extra := rapid.Bool().Draw(t, "extra")
+			if !extra {
+				w.Request(now)
+			} else if !w.Take(now) {
+				continue
+			}
+			events = append(events, event{now, extra})
+		}
+		for i, first := range events {
+			var requests, extra float64
+			for _, e := range events[i:] {
+				if e.at.Sub(first.at) >= 9*time.Second {
+					break // the window is known to a tenth of its span
+				}
+				if e.extra {
+					extra++
+				}
+			}
+			for _, e := range events {
+				if !e.extra && e.at.After(first.at.Add(-10*time.Second)) && e.at.Sub(first.at) < 9*time.Second {
+					requests++
+				}
+			}
+			assert.Assert(t, extra <= 0.2*requests+5)
+		}
+	})
+}
+
+// Guards against a zero value that allows everything.
+func TestZeroWindowAllowsNothing(t *testing.T) {
+	var w Window
+	assert.Assert(t, !w.Take(time.Unix(1, 0)))
+}
--- /dev/null
+++ b/pkg/roster/roster_test.go
@@ -0,0 +1,119 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func entry(node string, start int64, change uint64) Entry {
+	return Entry{Node: node, Start: start, Change: change, Addr: "addr-" + node, Domain: "d", Region: "r", Service: "s", Server: "i", State: Ready}
+}
+
+// Guards against late and repeated entries that bring back an older state.
+func TestMergeKeepsTheNewest(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second Entry
+		want          bool
+	}{
+		"newer change": {entry("a", 1, 1), entry("a", 1, 2), true},
+		"same change":  {entry("a", 1, 2), entry("a", 1, 2), false},
+		"older change": {entry("a", 1, 3), entry("a", 1, 2), false},
+		"restart":      {entry("a", 1, 9), entry("a", 2, 1), true},
+		"before start": {entry("a", 2, 1), entry("a", 1, 9), false},
+		"other node":   {entry("a", 1, 1), entry("b", 1, 1), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r Roster
+			assert.Assert(t, r.Merge(c.first, time.Time{}))
+			assert.Equal(t, r.Merge(c.second, time.Time{}), c.want)
+		})
+	}
+}
+
+// Guards against two nodes at one address, of which one is long gone.
+func TestAddressBelongsToTheLaterNode(t *testing.T) {
+	var r Roster
+	old, new := entry("a", 1, 1), entry("b", 2, 1)
+	new.Addr = old.Addr
+	r.Merge(old, time.Time{})
+	assert.Assert(t, r.Merge(new, time.Time{}))
+	_, known := r.Get("a")
+	assert.Assert(t, !known)
+	assert.Assert(t, !r.Merge(old, time.Time{}), "the node that was replaced came back")
+}
+
+// Guards against an order of arrival that changes the outcome.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var entries []Entry
+		for range rapid.IntRange(1, 12).Draw(t, "n") {
+			entries = append(entries, entry(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node"),
+				rapid.Int64Range(1, 3).Draw(t, "start"), rapid.Uint64Range(1, 4).Draw(t, "change")))
+		}
+		shuffled := rapid.Permutation(entries).Draw(t, "order")
+		var one, two Roster
+		for i := range entries {
+			one.Merge(entries[i], time.Time{})
+			two.Merge(shuffled[i], time.Time{})
+		}
+		one.Each(func(e Entry) {
+			other, ok := two.Get(e.Node)
+			assert.Assert(t, ok)
+			assert.Equal(t, other, e)
+		})
+	})
+}
+
+// Guards against malformed entries of other writers.
+func TestCheckEntry(t *testing.T) {
+	for name, change := range map[string]func(e *Entry){
+		"no node":    func(e *Entry) { e.Node = "" },
+		"no address": func(e *Entry) { e.Addr = "" },
+		"state":      func(e *Entry) { e.State = "asleep" },
+		"slots":      func(e *Entry) { e.Slots = -1 },
+		"long":       func(e *Entry) { e.Service = string(make([]byte, 300)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := entry("a", 1, 1)
+			assert.NilError(t, e.Check())
+			change(&e)
+			assert.Assert(t, e.Check() != nil)
+		})
+	}
+}
+
+// Guards against a delayed report of a server that has been replaced, which
+// would reopen or close its successor.
+func TestServerTakesOnlyCurrentReports(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second Report
+		stale         bool
+	}{
+		"next":                 {Report{ID: "i", State: Ready, Born: 5, Seq: 1}, Report{ID: "i", State: Draining, Born: 5, Seq: 2}, false},
+		"late":                 {Report{ID: "i", State: Draining, Born: 5, Seq: 2}, Report{ID: "i", State: Ready, Born: 5, Seq: 1}, true},
+		"predecessor":          {Report{ID: "j", State: Ready, Born: 9, Seq: 1}, Report{ID: "i", State: Ready, Born: 5, Seq: 40}, true},
+		"successor":            {Report{ID: "i", State: Ready, Born: 5, Seq: 40}, Report{ID: "j", State: Ready, Born: 9, Seq: 1}, false},
+		"restart with same id": {Report{ID: "i", State: Draining, Born: 5, Seq: 40}, Report{ID: "i", State: Ready, Born: 9, Seq: 1}, false},
+		"after probe":          {Report{ID: "i", State: Ready}, Report{ID: "i", State: Ready, Born: 5, Seq: 1}, false},
+		"after farewell":       {Report{ID: "i", State: Gone, Born: 5, Seq: 2}, Report{ID: "i", State: Ready, Born: 5, Seq: 3}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Server
+			s.Take(c.first)
+			_, stale := s.Take(c.second)
+			assert.Equal(t, stale, c.stale)
+		})
+	}
+}
+
+// Guards against a farewell of an earlier server that takes its successor out.
+func TestLeaveNamesTheServer(t *testing.T) {
+	s := Server{Report{ID: "j", Born: 9, State: Ready}}
+	assert.Assert(t, !s.Leave("i", 0))
+	assert.Assert(t, !s.Leave("j", 5))
+	assert.Assert(t, s.Leave("j", 9))
+	assert.Equal(t, s.State, Gone)
+}
