Read requests as strictly as RFC 9112 asks

Cause: a header with both Content-Length and Transfer-Encoding let a second request run on the connection, differing lengths, signed lengths, a space before the colon and a missing Host were served, and a bare LF hung without an answer. Change: the framer checks whole headers and decodes chunked bodies itself; the parser gets a header with one declared length.

--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -36,6 +36,9 @@
 // keeps, because r is reused after the answer.
 func parse(r *http.Request, body []byte, rules Rules, now time.Time) (call.Request, error) {
 	header := r.Header.Clone()
+	if keys := header.Values(call.HeaderKey); len(keys) > 1 {
+		return call.Request{}, fault.New(fault.KindBadRequest, "%d lines of %s; send one", len(keys), call.HeaderKey)
+	}
 	out := call.Request{
 		ID:      header.Get(call.HeaderID),
 		Service: header.Get(call.HeaderService),
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -1,17 +1,21 @@
 package http1
 
 import (
+	"bytes"
 	"net/http"
 	"sync"
 
 	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rotisserie/eris"
 )
 
-const headEnd = "\r\n\r\n"
+// headEnd ends a header.
+var headEnd = []byte("\r\n\r\n")
 
-// framer keeps request bodies away from nbhttp's parser, which holds a body
-// until it is whole and counts it against the limit of the header: a body over
-// 64 KB was refused, and each read copied what had come before.
+// framer finds the ends of headers and bodies and gives nbhttp's parser whole
+// ones. By itself the parser accepts headers that RFC 9112 forbids, holds a body
+// until it is whole, counts it against the limit of the header, and copies it
+// with each read.
 type framer struct {
 	nbhttp.Processor
 	limit int
@@ -26,45 +30,36 @@
 	// closed is set when the connection has ended.
 	closed bool
 
-	// head is the number of header bytes so far; matched counts how many bytes of
-	// headEnd the last ones are.
-	head, matched int
-	// declared is the length that the header names. The parser tells it before
-	// the last byte of the header.
-	declared int
-	// left is how many bytes of a body of declared length are still to come; zero
-	// until the header has ended.
+	// head is the header as far as it has come, until it is whole and checked.
+	head []byte
+	// declared tells the framing of the request whose body is to come.
+	declared head
+	// left is how many bytes of a body of declared length are still to come.
 	left int
-	body []byte
-	// completed and begun tell what the parser met since the last feed.
-	completed, begun bool
-	chunked          bool
-	// raw is set when a request follows a chunked body without a pause. Where its
-	// header ends is then not known, and the parser gets everything.
-	raw bool
+	// chunks decodes a chunked body.
+	chunks chunks
+	body   []byte
+	// inBody is set while a body is to come.
+	inBody bool
 	// failed is set by the first error; what follows is ignored, so that the
 	// answer to bad input is written once and not cut off.
 	failed bool
 }
 
-// feed passes data to the parser, bodies of declared length in one piece.
+// feed passes whole headers and whole bodies to the parser.
 func (f *framer) feed(parse func([]byte) error, data []byte) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for len(data) > 0 && !f.failed && !f.closed {
-		n := len(data)
+		var n int
 		var err error
 		switch {
-		case f.raw:
-			err = parse(data)
-		case f.chunked:
-			err = f.feedChunks(parse, data)
-		case f.left > 0:
-			n = min(n, f.left)
-			err = f.feedBody(parse, data[:n])
+		case f.inBody && f.declared.chunked:
+			n, err = f.feedChunks(parse, data)
+		case f.inBody:
+			n, err = f.feedBody(parse, data)
 		default:
-			n = f.headLength(data)
-			err = f.feedHead(parse, data[:n])
+			n, err = f.feedHead(parse, data)
 		}
 		if err != nil {
 			f.failed = true
@@ -75,95 +70,93 @@
 	return nil
 }
 
-// headLength returns how many bytes of data belong to the header.
-func (f *framer) headLength(data []byte) int {
+// feedHead collects a header. A line that ends badly fails at once, because the
+// end of such a header may never be found.
+func (f *framer) feedHead(parse func([]byte) error, data []byte) (int, error) {
 	for i, b := range data {
-		switch {
-		case b == headEnd[f.matched]:
-			f.matched++
-		case b == headEnd[0]:
-			f.matched = 1
-		default:
-			f.matched = 0
+		if len(f.head) == 0 && (b == '\r' || b == '\n') {
+			continue // empty lines before a request are ignored (RFC 9112, 2.2)
+		}
+		if len(f.head) >= maxHeader {
+			return 0, nbhttp.ErrTooLong
+		}
+		f.head = append(f.head, b)
+		if b != '\n' {
+			continue
 		}
-		if f.matched == len(headEnd) {
-			return i + 1
+		if f.head[len(f.head)-2] != '\r' {
+			return 0, eris.New("a header line ends with a bare LF")
+		}
+		if bytes.HasSuffix(f.head, headEnd) {
+			return i + 1, f.headDone(parse)
 		}
 	}
-	return len(data)
+	return len(data), nil
 }
 
-func (f *framer) feedHead(parse func([]byte) error, data []byte) error {
-	f.head += len(data)
-	if f.head > maxHeader {
-		return nbhttp.ErrTooLong
-	}
-	f.completed = false
-	if err := parse(data); err != nil {
+// headDone checks a whole header. That of a chunked body is kept until the body
+// is whole.
+func (f *framer) headDone(parse func([]byte) error) error {
+	declared, err := readHead(f.head)
+	if err != nil {
 		return err
 	}
-	if f.matched == len(headEnd) {
-		f.left, f.declared = f.declared, 0
-		f.head, f.matched = 0, 0
-		f.chunked = !f.completed && f.left == 0
-	}
-	if f.left > f.limit {
+	if declared.length > f.limit {
 		return nbhttp.ErrTooLong
 	}
-	return nil
+	f.declared, f.left = declared, declared.length
+	f.inBody = declared.chunked || declared.length > 0
+	if declared.chunked {
+		return nil
+	}
+	whole := f.head
+	f.head = nil
+	return parse(whole)
 }
 
-func (f *framer) feedBody(parse func([]byte) error, data []byte) error {
+func (f *framer) feedBody(parse func([]byte) error, data []byte) (int, error) {
+	data = data[:min(len(data), f.left)]
 	if size := len(f.body) + f.left; cap(f.body) < size && 4*(len(f.body)+len(data)) > size {
 		// A quarter has come, so the rest is no mere claim. Growing in steps
 		// would hold three times the body for a moment.
 		f.body = append(make([]byte, 0, size), f.body...)
 	}
 	if err := f.add(data); err != nil {
-		return err
+		return 0, err
 	}
 	if f.left -= len(data); f.left > 0 {
-		return nil
+		return len(data), nil
 	}
+	f.inBody = false
 	whole := f.body
 	f.body = nil
-	return parse(whole)
+	return len(data), parse(whole)
 }
 
-// feedChunks finds out whether the data ended with the body: a line end cannot
-// be part of the method that starts the next request.
-func (f *framer) feedChunks(parse func([]byte) error, data []byte) error {
-	f.completed, f.begun = false, false
-	if err := parse(data); err != nil || !f.completed {
-		return err
+// feedChunks collects a chunked body and gives it to the parser as one of
+// declared length.
+func (f *framer) feedChunks(parse func([]byte) error, data []byte) (int, error) {
+	n, err := f.chunks.feed(data, f.addChunk)
+	if err != nil || f.chunks.state != chunkDone {
+		return n, err
 	}
-	f.chunked = false
-	f.raw = f.begun || data[len(data)-1] != '\n'
-	return nil
-}
-
-// OnMethod implements nbhttp.Processor.
-func (f *framer) OnMethod(parser *nbhttp.Parser, method string) {
-	f.begun = true
-	f.Processor.OnMethod(parser, method)
+	whole, body := f.declared.withLength(f.head, len(f.body)), f.body
+	f.chunks, f.head, f.body, f.inBody = chunks{}, nil, nil, false
+	if err := parse(whole); err != nil || len(body) == 0 {
+		return n, err
+	}
+	return n, parse(body)
 }
 
-// OnContentLength implements nbhttp.Processor.
-func (f *framer) OnContentLength(parser *nbhttp.Parser, length int) {
-	f.Processor.OnContentLength(parser, length)
-	if !f.raw {
-		f.declared = max(length, 0)
+func (f *framer) addChunk(data []byte) error {
+	if len(f.body)+len(data) > f.limit {
+		return nbhttp.ErrTooLong
 	}
+	return f.add(data)
 }
 
 // OnBody implements nbhttp.Processor.
 func (f *framer) OnBody(_ *nbhttp.Parser, data []byte) error {
-	if len(f.body)+len(data) > f.limit {
-		return nbhttp.ErrTooLong
-	}
-	if f.chunked || f.raw {
-		return f.add(data)
-	}
 	f.body = data
 	return nil
 }
@@ -194,12 +187,6 @@
 	f.taken = 0
 }
 
-// OnComplete implements nbhttp.Processor.
-func (f *framer) OnComplete(parser *nbhttp.Parser) {
-	f.completed = true
-	f.Processor.OnComplete(parser)
-}
-
 // take returns the body of the request that was just parsed. Its memory is
 // returned with give.
 func (f *framer) take() []byte {
--- a/internal/http1/framer_test.go
+++ b/internal/http1/framer_test.go
@@ -47,7 +47,7 @@
 		case "anywhere":
 			n = rapid.IntRange(1, len(text)).Draw(t, "piece")
 		case "header":
-			n = min(n, max(1, strings.Index(text, headEnd)+rapid.IntRange(0, len(headEnd)).Draw(t, "end")))
+			n = min(n, max(1, strings.Index(text, string(headEnd))+rapid.IntRange(0, len(headEnd)).Draw(t, "end")))
 		}
 		all = append(all, []byte(text[:n]))
 		text = text[n:]
--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,161 @@
+package http1
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+)
+
+// head is what the framing of a request depends on.
+type head struct {
+	// length is the declared length of the body, zero without a body.
+	length  int
+	chunked bool
+	// encoding is the field line of Transfer-Encoding with its end, as bytes of
+	// the header.
+	encoding []byte
+}
+
+// readHead checks a header as strictly as RFC 9112 asks of a recipient. Two
+// readers that disagree about where a request ends let a caller hide a second
+// request in the body of the first.
+func readHead(raw []byte) (head, error) {
+	var h head
+	line, rest, ok := cutLine(raw)
+	if !ok {
+		return h, eris.New("the request line does not end with CRLF")
+	}
+	version, err := readRequestLine(line)
+	if err != nil {
+		return h, err
+	}
+	lengths, hosts := 0, 0
+	for {
+		begin := rest
+		line, rest, ok = cutLine(rest)
+		switch {
+		case !ok:
+			return h, eris.New("a header line does not end with CRLF")
+		case len(line) == 0:
+			return h, h.check(version, lengths, hosts)
+		}
+		name, value, err := readField(line)
+		if err != nil {
+			return h, err
+		}
+		switch {
+		case equalFold(name, "Content-Length"):
+			if lengths++; lengths > 1 {
+				return h, eris.New("more than one Content-Length")
+			}
+			if h.length, err = readLength(value); err != nil {
+				return h, err
+			}
+		case equalFold(name, "Transfer-Encoding"):
+			if h.chunked || !equalFold(value, "chunked") {
+				return h, eris.Errorf("transfer coding %.40q is not supported; send chunked once", value)
+			}
+			h.chunked, h.encoding = true, begin[:len(begin)-len(rest)]
+		case equalFold(name, "Host"):
+			hosts++
+		}
+	}
+}
+
+func (h head) check(version byte, lengths, hosts int) error {
+	switch {
+	case h.chunked && lengths > 0:
+		return eris.New("both Content-Length and Transfer-Encoding")
+	case h.chunked && version == '0':
+		return eris.New("Transfer-Encoding in HTTP/1.0")
+	case hosts > 1 || hosts == 0 && version != '0':
+		return eris.Errorf("%d Host lines; send exactly one", hosts)
+	}
+	return nil
+}
+
+// withLength returns the header with a Content-Length in place of the transfer
+// coding.
+func (h head) withLength(raw []byte, n int) []byte {
+	at := bytes.Index(raw, h.encoding)
+	out := make([]byte, 0, len(raw)+32)
+	out = append(out, raw[:at]...)
+	out = append(out, "Content-Length: "...)
+	out = strconv.AppendInt(out, int64(n), 10)
+	out = append(out, "\r\n"...)
+	return append(out, raw[at+len(h.encoding):]...)
+}
+
+// readRequestLine returns the minor version.
+func readRequestLine(line []byte) (version byte, err error) {
+	method, rest, ok := bytes.Cut(line, []byte(" "))
+	target, protocol, ok2 := bytes.Cut(rest, []byte(" "))
+	if !ok || !ok2 || !isToken(method) || len(target) == 0 || !isVisible(target) {
+		return 0, eris.Errorf("malformed request line %.80q", line)
+	}
+	if string(protocol) != "HTTP/1.1" && string(protocol) != "HTTP/1.0" {
+		return 0, eris.Errorf("protocol %.20q is not supported", protocol)
+	}
+	return protocol[len(protocol)-1], nil
+}
+
+func readField(line []byte) (name, value []byte, err error) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) {
+		return nil, nil, eris.Errorf("malformed header line %.80q", line)
+	}
+	value = bytes.Trim(value, " \t")
+	for _, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return nil, nil, eris.Errorf("control character in the value of %.40q", name)
+		}
+	}
+	return name, value, nil
+}
+
+// maxLengthDigits keeps a length within an int.
+const maxLengthDigits = 18
+
+func readLength(value []byte) (int, error) {
+	if len(value) == 0 || len(value) > maxLengthDigits {
+		return 0, eris.Errorf("Content-Length %.40q is not a length", value)
+	}
+	n := 0
+	for _, c := range value {
+		if c < '0' || c > '9' {
+			return 0, eris.Errorf("Content-Length %.40q is not a length", value)
+		}
+		n = n*10 + int(c-'0')
+	}
+	return n, nil
+}
+
+// cutLine splits at the first CRLF; a bare CR or LF is no end.
+func cutLine(b []byte) (line, rest []byte, ok bool) {
+	i := bytes.IndexByte(b, '\n')
+	if i < 1 || b[i-1] != '\r' || bytes.IndexByte(b[:i-1], '\r') >= 0 {
+		return nil, b, false
+	}
+	return b[:i-1], b[i+1:], true
+}
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 0x7f || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), c) >= 0 {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+func isVisible(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func equalFold(b []byte, s string) bool { return bytes.EqualFold(b, []byte(s)) }
--- /dev/null
+++ b/internal/http1/strict_test.go
@@ -0,0 +1,131 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against requests whose end two readers see differently: one that is
+// hidden in another's body would run unasked.
+func TestAmbiguousFramingIsRefused(t *testing.T) {
+	const host = "Host: a\r\n"
+	for name, c := range map[string]struct {
+		input  string
+		status int
+		served int
+	}{
+		"plain":                   {"GET / HTTP/1.1\r\n" + host + "\r\n", 200, 1},
+		"empty lines before":      {"\r\n\r\nGET / HTTP/1.1\r\n" + host + "\r\n", 200, 1},
+		"chunked":                 {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: v\r\n\r\n", 200, 1},
+		"two lengths":             {"POST / HTTP/1.1\r\n" + host + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd", 400, 0},
+		"list of lengths":         {"POST / HTTP/1.1\r\n" + host + "Content-Length: 4, 4\r\n\r\nabcd", 400, 0},
+		"signed length":           {"POST / HTTP/1.1\r\n" + host + "Content-Length: +4\r\n\r\nabcd", 400, 0},
+		"negative length":         {"POST / HTTP/1.1\r\n" + host + "Content-Length: -4\r\n\r\nabcd", 400, 0},
+		"empty length":            {"POST / HTTP/1.1\r\n" + host + "Content-Length:\r\n\r\n", 400, 0},
+		"huge length":             {"POST / HTTP/1.1\r\n" + host + "Content-Length: 99999999999999999999\r\n\r\n", 400, 0},
+		"space before colon":      {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", 400, 0},
+		"length and coding":       {"POST / HTTP/1.1\r\n" + host + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n" + host + "\r\n", 400, 0},
+		"coding and length":       {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", 400, 0},
+		"other coding":            {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400, 0},
+		"coding twice":            {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, 0},
+		"coding in 1.0":           {"POST / HTTP/1.0\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, 0},
+		"no host":                 {"GET / HTTP/1.1\r\n\r\n", 400, 0},
+		"two hosts":               {"GET / HTTP/1.1\r\n" + host + "Host: b\r\n\r\n", 400, 0},
+		"bare LF":                 {"GET / HTTP/1.1\n", 400, 0},
+		"bare CR in a line":       {"GET / HTTP/1.1\r\n" + host + "A: b\rc: d\r\n\r\n", 400, 0},
+		"folded line":             {"GET / HTTP/1.1\r\n" + host + "A: b\r\n c\r\n\r\n", 400, 0},
+		"NUL in a value":          {"GET / HTTP/1.1\r\n" + host + "A: b\x00\r\n\r\n", 400, 0},
+		"no version":              {"GET /\r\n" + host + "\r\n", 400, 0},
+		"two spaces":              {"GET  / HTTP/1.1\r\n" + host + "\r\n", 400, 0},
+		"chunk extension bare LF": {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3;x\nabc\r\n0\r\n\r\n", 400, 0},
+		"chunk size signed":       {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n", 400, 0},
+		"chunk size 0x":           {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n", 400, 0},
+		"chunk longer than size":  {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n", 400, 0},
+		"pipelined":               {"GET / HTTP/1.1\r\n" + host + "\r\nGET / HTTP/1.1\r\n" + host + "\r\n", 200, 2},
+		"request after chunks":    {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n" + host + "\r\n", 200, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var served atomic.Int64
+			s := &Server{Handler: func(context.Context, *http.Request, []byte) *http.Response {
+				served.Add(1)
+				return Text(http.StatusOK, "ok")
+			}}
+			assert.NilError(t, s.Listen("127.0.0.1:0"))
+			defer s.Close()
+			conn, err := net.Dial("tcp", s.Addr())
+			assert.NilError(t, err)
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+			_, err = io.WriteString(conn, c.input)
+			assert.NilError(t, err)
+			r := bufio.NewReader(conn)
+			for range max(c.served, 1) {
+				response, err := http.ReadResponse(r, nil)
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, c.status)
+				_, err = io.Copy(io.Discard, response.Body)
+				assert.NilError(t, err)
+			}
+			if c.status == http.StatusBadRequest {
+				_, err = r.ReadByte()
+				assert.ErrorIs(t, err, io.EOF)
+			}
+			assert.Equal(t, int(served.Load()), c.served)
+		})
+	}
+}
+
+// Guards against a body that depends on where the network cuts it.
+func TestBodyIsTheSameInAnyPieces(t *testing.T) {
+	input := []byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;e=1\r\n world\r\n0\r\nX: y\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+	for size := 1; size < len(input); size++ {
+		f := framer{limit: 1 << 20}
+		var bodies []string
+		parse := func(data []byte) error {
+			if bytes.HasPrefix(data, []byte("POST")) {
+				bodies = append(bodies, "")
+				return nil
+			}
+			bodies[len(bodies)-1] += string(data)
+			return nil
+		}
+		for rest := input; len(rest) > 0; {
+			n := min(size, len(rest))
+			assert.NilError(t, f.feed(parse, rest[:n]))
+			rest = rest[n:]
+		}
+		assert.DeepEqual(t, bodies, []string{"hello world", "abc"})
+	}
+}
+
+// FuzzHead checks that what readHead accepts has the framing that net/http sees.
+func FuzzHead(f *testing.F) {
+	for _, lines := range []string{"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "A: b\r\n c\r\n", "Content-Length : 4\r\n"} {
+		f.Add("POST / HTTP/1.1\r\nHost: a\r\n" + lines + "\r\n")
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		h, err := readHead([]byte(text))
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader([]byte(text))))
+		if err != nil {
+			return // net/http refuses more, such as targets that are no URL
+		}
+		chunked := len(r.TransferEncoding) > 0
+		assert.Equal(t, h.chunked, chunked, fmt.Sprintf("%q", text))
+		if !chunked {
+			assert.Equal(t, int64(h.length), r.ContentLength, fmt.Sprintf("%q", text))
+		}
+	})
+}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -36,10 +36,10 @@
 // Guards against two nodes at one address, of which one is long gone.
 func TestAddressBelongsToTheLaterNode(t *testing.T) {
 	var r Roster
-	old, new := entry("a", 1, 1), entry("b", 2, 1)
-	new.Addr = old.Addr
+	old, later := entry("a", 1, 1), entry("b", 2, 1)
+	later.Addr = old.Addr
 	r.Merge(old, time.Time{})
-	assert.Assert(t, r.Merge(new, time.Time{}))
+	assert.Assert(t, r.Merge(later, time.Time{}))
 	_, known := r.Get("a")
 	assert.Assert(t, !known)
 	assert.Assert(t, !r.Merge(old, time.Time{}), "the node that was replaced came back")
