--- a/internal/backend/names.go
+++ b/internal/backend/names.go
@@ -67,6 +67,11 @@
 	return status == http.StatusMisdirectedRequest || n.NotRun != "" && h.Get(n.NotRun) != ""
 }
 
+// unsealed reports whether a success lacks the server's signature.
+func (n Names) unsealed(status int, h http.Header) bool {
+	return n.Seal != "" && status < http.StatusMultipleChoices && h.Get(n.Seal) == ""
+}
+
 // head writes the request line and header.
 func (n Names) head(buf []byte, r call.Request, deadlineMillis int64) []byte {
 	buf = append(buf, r.Method...)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -92,6 +92,11 @@
 		_ = c.Close()
 		return nil, classifyLost(ctx, err)
 	}
+	if p.Names.unsealed(response.StatusCode, response.Header) {
+		stop()
+		_ = c.Close()
+		return nil, fault.New(fault.KindCutShort, "backend server's answer has no seal")
+	}
 	notRun := p.Names.notRun(response.StatusCode, response.Header)
 	call.RemoveHopHeaders(response.Header)
 	answer := &call.Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Outcome: fault.Ran}
