--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 	callers   caller.Server
 	peers     peer.Client
 	serving   peer.Server
+	figures   figures
 
 	// running ends when the node stops.
 	running  context.Context
@@ -125,6 +127,7 @@
 	p := passage{entry: &n.entry, request: n.entry.place(r, rt, service, now), attempts: rt.Attempts}
 	ctx, cancel := context.WithDeadline(ctx, p.request.Deadline)
 	answer, err := p.run(ctx)
+	n.figures.answered(p.request, answer, err, time.Since(now))
 	if err != nil {
 		cancel()
 		return nil, err
@@ -318,5 +321,13 @@
 // ReadyStatus returns the status for a probe of readiness.
 func (n *Node) ReadyStatus() int { return statusOK[n.Ready()] }
 
+// Figures returns the counters and latencies of this node as text.
+func (n *Node) Figures() string {
+	load := n.far.load()
+	return n.figures.text() + fmt.Sprintf(
+		"vanillasail_server_running %d\nvanillasail_server_waiting %d\nvanillasail_server_limit %d\nvanillasail_server_slots %d\nvanillasail_server_pace %.2f\nvanillasail_nodes %d\nvanillasail_links %d\nvanillasail_configuration_version %d\n",
+		load.InFlight, load.Queued, load.Limit, load.Slots, load.Pace, n.directory.nodes(), n.peers.Links(), n.follower.version())
+}
+
 // CallerAddr returns the address on which callers are served.
 func (n *Node) CallerAddr() string { return n.callers.Addr() }
