Notice a lost feed within seconds after an outage; tell three nodes of a new version

In the log the other nodes learn of it from a peer only. Change: feeds wait for 1 s after a failure and for 30 s once one has answered; a node that takes a new version tells three others. Each send is logged with the figures that decided it and those after it.

--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -14,13 +14,19 @@
 	// followRetry and followMost bound the wait after the registry failed.
 	followRetry = 200 * time.Millisecond
 	followMost  = time.Second
+	// trialWait is how long the registry is asked to wait for a change after it has
+	// failed: an answer that is lost on a connection which stays open shows only by
+	// its absence.
+	trialWait = time.Second
+	// calmWait is the same while all is well, when each call costs.
+	calmWait = 30 * time.Second
 )
 
 // follower keeps the newest configuration. It never goes back to an older one.
 type follower struct {
 	*Options
 	// applied is called after a new configuration is in force.
-	applied func(t *route.Table, from string)
+	applied func(t *route.Table)
 	// outage is called each time the registry fails.
 	outage func(ctx context.Context)
 
@@ -59,7 +65,14 @@
 	f.mu.Unlock()
 	f.Log.WithField("version", v.Document.Version).WithField("routes", len(v.Document.Routes)).
 		WithField("from", from).Info("configuration in force")
-	f.applied(table, from)
+	f.applied(table)
+}
+
+func followWait(down bool) time.Duration {
+	if down {
+		return trialWait
+	}
+	return calmWait
 }
 
 // run follows the registry until ctx ends.
@@ -71,7 +84,7 @@
 		var v Versioned
 		var err error
 		if known {
-			v, err = f.Registry.Changed(ctx, position)
+			v, err = f.Registry.Changed(ctx, position, followWait(down))
 		} else {
 			v, err = f.Registry.Configuration(ctx)
 		}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -53,6 +53,10 @@
 	// in the registry, and limitDrift the difference that is written.
 	keepInterval = 5 * time.Second
 	limitDrift   = 2
+	// spreadTo is how many nodes are told of a new version; with three, one of
+	// twenty that the registry misses is missed here too, and asks after its next
+	// failure.
+	spreadTo = 3
 	// stopNotice is how long a stopping node goes on accepting: callers are moved
 	// away after two probes of a second each.
 	stopNotice = 3 * time.Second
@@ -227,10 +231,24 @@
 }
 
 // applied is called when a configuration is in force.
-func (n *Node) applied(t *route.Table, _ string) {
+func (n *Node) applied(t *route.Table) {
 	if s, ok := t.Service(n.Service); ok {
 		n.far.setHealth(s.Health)
 	}
+	go n.spread()
+}
+
+// spread tells some other nodes of the new version, in case the registry's
+// answer to them was lost. Each node that learns of it so tells others again.
+func (n *Node) spread() {
+	others := n.directory.others()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, to := range others[:min(len(others), spreadTo)] {
+		reply, err := n.announcer.exchange(n.running, to, n.announcer.entry())
+		if err == nil && reply != nil {
+			n.announcer.hear(n.running, *reply)
+		}
+	}
 }
 
 // askPeer asks any other node for a newer configuration while the registry does
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -26,9 +26,9 @@
 	Withdraw(ctx context.Context, e roster.Entry) error
 	// Configuration returns the newest configuration and its raw form.
 	Configuration(ctx context.Context) (Versioned, error)
-	// Changed returns the next configuration after a position; it waits for one
-	// and returns the zero value when none came.
-	Changed(ctx context.Context, position uint64) (Versioned, error)
+	// Changed returns the next configuration after a position. It waits for one as
+	// long as it is told, and returns no document when none came.
+	Changed(ctx context.Context, position uint64, wait time.Duration) (Versioned, error)
 	// Decode reads the raw form that another node passes on.
 	Decode(raw []byte) (*route.Document, error)
 }
--- a/internal/mesh/passage.go
+++ b/internal/mesh/passage.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
@@ -19,6 +21,8 @@
 	attempts int
 
 	start time.Time
+	// sent is when the last send began.
+	sent  time.Time
 	sends int
 	// reached counts the servers that the request has reached.
 	reached int
@@ -45,6 +49,7 @@
 			break
 		}
 		p.sends++
+		p.sent = time.Now()
 		out := p.send(ctx, p.request.WithTarget("", last), choice)
 		if answer, done := p.judge(ctx, choice, last, out); done {
 			return answer, nil
@@ -100,6 +105,7 @@
 // caller.
 func (p *passage) judge(ctx context.Context, choice placement.Choice, last bool, out outcome) (*call.Answer, bool) {
 	node := choice.Server.ID
+	p.note(choice, last, out)
 	if out.answer != nil {
 		p.reached++
 		p.ran = true
@@ -111,7 +117,6 @@
 		return nil, false
 	}
 	p.last = out.err
-	p.note(choice, last, out.err)
 	switch {
 	case out.err.Kind == fault.KindHandedBack:
 		p.back = append(p.back, node)
@@ -204,16 +209,26 @@
 	return wait + time.Duration(rand.Int64N(int64(wait)))
 }
 
-// note logs a send without an answer.
-func (p *passage) note(choice placement.Choice, last bool, err *fault.Error) {
+// note logs a send: what decided it, how old that was, and what came of it. The
+// figures of the server after it tell whether the decision was right.
+func (p *passage) note(choice placement.Choice, last bool, out outcome) {
 	age := time.Duration(-1)
 	if choice.Known {
-		age = time.Since(choice.Server.Seen)
+		age = p.sent.Sub(choice.Server.Seen)
+	}
+	fields := log.Fields{
+		"id": p.request.ID, "route": p.request.Route, "to": choice.Server.ID, "send": p.sends,
+		"running": choice.Server.Running, "limit": choice.Server.Limit, "pace": choice.Server.Pace, "age": age,
+		"last": last, "took": time.Since(p.sent),
+		"running_after": out.load.InFlight, "limit_after": out.load.Limit, "pace_after": out.load.Pace,
+	}
+	if out.answer != nil {
+		fields["status"] = out.answer.Status
+		p.Log.WithFields(fields).Debug("answered")
+		return
 	}
-	p.Log.WithField("id", p.request.ID).WithField("route", p.request.Route).WithField("to", choice.Server.ID).
-		WithField("running", choice.Server.Running).WithField("limit", choice.Server.Limit).WithField("pace", choice.Server.Pace).
-		WithField("age", age).WithField("last", last).WithField("outcome", string(err.Kind)).
-		WithField("ran", err.Outcome.String()).Debug("not served")
+	fields["outcome"], fields["ran"] = string(out.err.Kind), out.err.Outcome.String()
+	p.Log.WithFields(fields).Debug("not answered")
 }
 
 func (p *passage) logEnd(err *fault.Error) {
