--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -23,6 +23,8 @@
 	// maxTurnAways is how many servers that seemed best may turn a request away
 	// before the caller is told.
 	maxTurnAways = 2
+	// maxSilent is how many nodes that do not react one request may meet.
+	maxSilent = 2
 	// maxSends bounds the sends of one request to nodes, whatever comes back.
 	maxSends = 12
 	// minRetryAfter is the shortest time after which a refused caller may come
@@ -122,7 +124,7 @@
 	if out.load.Slots > 0 {
 		e.directory.observe(node, out.load, now)
 	}
-	if out.ran {
+	if out.ran && !out.silent {
 		e.directory.outcome(node, out.err != nil && ctx.Err() == nil || out.answer != nil && out.answer.Status >= 500, now)
 	}
 	return out
@@ -170,5 +172,5 @@
 	if errors.Is(err, peer.ErrNotSent) {
 		return outcome{err: failure.WithOutcome(fault.Refused)}
 	}
-	return outcome{err: failure, ran: true}
+	return outcome{err: failure, ran: true, silent: errors.Is(err, peer.ErrSilent)}
 }
--- a/internal/mesh/far.go
+++ b/internal/mesh/far.go
@@ -42,6 +42,9 @@
 	load   call.Load
 	// ran is set when the request has reached the server and may have run.
 	ran bool
+	// silent is set when the node beside the server did not even acknowledge the
+	// request. It may still run, but most likely its host is gone.
+	silent bool
 }
 
 // serve runs the request, lets it wait, or turns it away.
--- a/internal/mesh/passage.go
+++ b/internal/mesh/passage.go
@@ -26,6 +26,8 @@
 	sends int
 	// reached counts the servers that the request has reached.
 	reached int
+	// silent counts the nodes that did not acknowledge the request.
+	silent int
 	// back lists servers that handed the request back, failed those that will not
 	// be tried again.
 	back, failed []string
@@ -120,6 +122,10 @@
 	switch {
 	case out.err.Kind == fault.KindHandedBack:
 		p.back = append(p.back, node)
+	case out.silent:
+		p.ran = true
+		p.silent++
+		p.failed = append(p.failed, node)
 	case out.ran:
 		p.reached++
 		p.ran = true
@@ -140,6 +146,10 @@
 		return false // judge has taken the budget
 	case p.last == nil:
 		return true
+	case p.silent > 0 && p.reached == 0:
+		// Nothing shows that a server has the request, so sending it elsewhere takes
+		// nothing from the bound on second sends. Only idempotent requests come here.
+		return p.silent > maxSilent
 	case p.last.Outcome != fault.Refused || p.ran:
 		return !p.mayRepeat(ctx)
 	case p.last.Kind == fault.KindOverloaded:
