--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -26,6 +26,7 @@
 	commander.Register(&checkCommand{}, "prepare")
 	commander.Register(&keysCommand{}, "prepare")
 	commander.Register(&standinCommand{}, "test")
+	commander.Register(&storyCommand{out: os.Stdout, in: os.Stdin}, "operate")
 	for _, c := range operatorCommands(os.Stdin, os.Stdout, os.Stderr) {
 		commander.Register(c, "operate")
 	}
--- /dev/null
+++ b/internal/cli/story.go
@@ -0,0 +1,132 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"sort"
+	"strings"
+
+	"github.com/google/subcommands"
+)
+
+// maxLogLine bounds a line of a log that is read.
+const maxLogLine = 1 << 20
+
+// storyCommand prints what the logs of many nodes say of one request.
+type storyCommand struct {
+	calls bool
+	out   io.Writer
+	in    io.Reader
+}
+
+// Name implements subcommands.Command.
+func (*storyCommand) Name() string { return "story" }
+
+// Synopsis implements subcommands.Command.
+func (*storyCommand) Synopsis() string { return "print the log lines of one request in order" }
+
+// Usage implements subcommands.Command.
+func (*storyCommand) Usage() string {
+	return "vanillasail story [-calls] ID [FILE...]\n\nReads the logs of nodes from files, or from standard input without any, and prints\nthe lines of the request in the order of their time. With -calls it adds the calls\nthat the request made. Exit code 1 means that no line names the request.\n\nExample: vanillasail story 4e36268ba789fe0a n1.log n2.log\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *storyCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.calls, "calls", false, "add the calls that the request made")
+}
+
+// Execute implements subcommands.Command.
+func (c *storyCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	s := story{id: f.Arg(0), calls: c.calls}
+	if f.NArg() == 1 {
+		s.read("-", c.in)
+	}
+	for _, path := range f.Args()[1:] {
+		file, err := os.Open(path)
+		if err != nil {
+			return fail(fmt.Errorf("log: %w; name a file that can be read", err))
+		}
+		s.read(path, file)
+		if err := file.Close(); err != nil {
+			return fail(err)
+		}
+	}
+	if s.err != nil {
+		return fail(s.err)
+	}
+	s.print(c.out)
+	if len(s.lines) == 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// story collects the lines of one request.
+type story struct {
+	id    string
+	calls bool
+	lines []storyLine
+	// leftOut counts reports of lines that a node did not write.
+	leftOut int
+	err     error
+}
+
+type storyLine struct {
+	at, source, text string
+}
+
+var (
+	logID   = regexp.MustCompile(`(?:^| )id=("[^"]*"|\S+)`)
+	logTime = regexp.MustCompile(`timestamp=(\S+) ?`)
+)
+
+func (s *story) read(source string, r io.Reader) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if strings.Contains(line, "log lines left out") {
+			s.leftOut++
+			continue
+		}
+		if found := logID.FindStringSubmatch(line); found == nil || !s.belongs(strings.Trim(found[1], `"`)) {
+			continue
+		}
+		at := ""
+		if found := logTime.FindStringSubmatch(line); found != nil {
+			at = found[1]
+		}
+		s.lines = append(s.lines, storyLine{at, source, logTime.ReplaceAllString(line, "")})
+	}
+	if err := scanner.Err(); err != nil && s.err == nil {
+		s.err = fmt.Errorf("log %s: %w", source, err)
+	}
+}
+
+// belongs reports whether a line with this id is part of the story. A call has
+// the id of its request, a dot and a suffix.
+func (s *story) belongs(id string) bool {
+	return id == s.id || s.calls && strings.HasPrefix(id, s.id+".")
+}
+
+func (s *story) print(w io.Writer) {
+	sort.SliceStable(s.lines, func(i, j int) bool { return s.lines[i].at < s.lines[j].at })
+	for _, l := range s.lines {
+		fmt.Fprintf(w, "%s %s %s\n", l.at, l.source, l.text)
+	}
+	if len(s.lines) == 0 {
+		fmt.Fprintf(w, "no line names request %s\n", s.id)
+	}
+	if s.leftOut > 0 {
+		fmt.Fprintf(w, "the logs report %d times that lines were left out, so some may be missing\n", s.leftOut)
+	}
+}
