Bound the servers of a request also when its sends fail in different ways

Cause: after a server's own failure the next sends no longer asked for the bound on second sends nor for the route's attempts: a lookup ran on four servers where two are allowed. Change: the grant holds for one send; hand-backs take nothing.

--- a/internal/mesh/passage.go
+++ b/internal/mesh/passage.go
@@ -34,6 +34,8 @@
 	// ran is set when the request may have run.
 	ran  bool
 	last *fault.Error
+	// granted is set when the bound on second sends has allowed the next one.
+	granted bool
 	// spare is an answer that is delivered if nothing better comes.
 	spare *call.Answer
 }
@@ -114,6 +116,7 @@
 		if out.answer.Status < http.StatusInternalServerError || !p.mayRepeat(ctx) {
 			return out.answer, true
 		}
+		p.granted = true
 		p.keep(out.answer)
 		p.failed = append(p.failed, node)
 		return nil, false
@@ -141,23 +144,23 @@
 
 // ended reports whether the request must not be sent again.
 func (p *passage) ended(ctx context.Context) bool {
+	if p.granted {
+		p.granted = false
+		return false
+	}
 	switch {
-	case p.spare != nil:
-		return false // judge has taken the budget
-	case p.last == nil:
-		return true
-	case p.silent > 0 && p.reached == 0:
-		// Nothing shows that a server has the request, so sending it elsewhere takes
-		// nothing from the bound on second sends. Only idempotent requests come here.
-		return p.silent > maxSilent
-	case p.last.Outcome != fault.Refused || p.ran:
-		return !p.mayRepeat(ctx)
 	case p.last.Kind == fault.KindOverloaded:
 		return !p.roomElsewhere(time.Now())
 	case p.last.Kind == fault.KindShed:
 		return p.reached >= p.attempts || !p.again(p.request.Service, time.Now())
+	case p.last.Outcome == fault.Refused:
+		return false // it has reached no server
+	case p.silent > 0 && p.reached == 0:
+		// Nothing shows that a server has the request, so sending it elsewhere takes
+		// nothing from the bound on second sends. Only idempotent requests come here.
+		return p.silent > maxSilent
 	}
-	return false
+	return !p.mayRepeat(ctx)
 }
 
 // roomElsewhere reports whether some server may still have room, though the one
