--- a/internal/mesh/passage.go
+++ b/internal/mesh/dispatch.go
@@ -13,8 +13,8 @@
 	"github.com/vanillasail/vanillasail/pkg/placement"
 )
 
-// passage is the way of one request to a server, over all sends.
-type passage struct {
+// dispatch is the way of one request to a server, over all sends.
+type dispatch struct {
 	*entry
 	request call.Request
 	// attempts bounds the servers that the request may reach.
@@ -41,55 +41,55 @@
 }
 
 // run returns the answer, or an error whose outcome holds for all sends.
-func (p *passage) run(ctx context.Context) (*call.Answer, error) {
-	p.start = time.Now()
-	p.count(p.request.Service, p.start)
-	for p.sends < maxSends {
+func (d *dispatch) run(ctx context.Context) (*call.Answer, error) {
+	d.start = time.Now()
+	d.count(d.request.Service, d.start)
+	for d.sends < maxSends {
 		if ctx.Err() != nil {
 			break
 		}
-		choice, last, ok := p.choose(time.Now())
+		choice, last, ok := d.choose(time.Now())
 		if !ok {
 			break
 		}
-		p.sends++
-		p.sent = time.Now()
-		out := p.send(ctx, p.request.WithTarget("", last), choice)
-		if answer, done := p.judge(ctx, choice, last, out); done {
+		d.sends++
+		d.sent = time.Now()
+		out := d.send(ctx, d.request.WithTarget("", last), choice)
+		if answer, done := d.judge(ctx, choice, last, out); done {
 			return answer, nil
 		}
-		if p.ended(ctx) {
+		if d.ended(ctx) {
 			break
 		}
 	}
-	return p.finish(ctx)
+	return d.finish(ctx)
 }
 
 // choose picks a server, and tells whether the request should wait there.
-func (p *passage) choose(now time.Time) (choice placement.Choice, last, ok bool) {
+func (d *dispatch) choose(now time.Time) (choice placement.Choice, last, ok bool) {
 	var buf [32]placement.Server
-	servers := p.directory.servers(p.request.Service, buf[:0])
-	servers = p.without(servers)
-	ask := placement.Request{Bytes: len(p.request.Body) + usualAnswer, Work: p.work(), Tried: p.back}
-	choice, ok = p.Costs.Pick(servers, ask, now)
-	last = choice.Tried || choice.Others == 0 || len(p.back) >= maxHandBacks || choice.Server.Full(now)
+	servers := d.directory.servers(d.request.Service, buf[:0])
+	servers = d.without(servers)
+	ask := placement.Request{Bytes: len(d.request.Body) + usualAnswer, Work: d.work(), Tried: d.back}
+	choice, ok = d.Costs.Pick(servers, ask, now)
+	last = choice.Tried || choice.Others == 0 || len(d.back) >= maxHandBacks || choice.Server.Full(now)
 	return choice, last, ok
 }
 
-func (p *passage) work() time.Duration {
-	p.far.mu.Lock()
-	defer p.far.mu.Unlock()
-	return p.far.gate.Work(p.request.Route)
+func (d *dispatch) work() time.Duration {
+	d.far.mu.Lock()
+	defer d.far.mu.Unlock()
+	return d.far.gate.Work(d.request.Route)
 }
 
 // without leaves out the servers that failed.
-func (p *passage) without(servers []placement.Server) []placement.Server {
-	if len(p.failed) == 0 {
+func (d *dispatch) without(servers []placement.Server) []placement.Server {
+	if len(d.failed) == 0 {
 		return servers
 	}
 	kept := servers[:0]
 	for _, s := range servers {
-		if !contains(p.failed, s.ID) {
+		if !contains(d.failed, s.ID) {
 			kept = append(kept, s)
 		}
 	}
@@ -107,112 +107,112 @@
 
 // judge takes the outcome of one send. It returns true with the answer for the
 // caller.
-func (p *passage) judge(ctx context.Context, choice placement.Choice, last bool, out outcome) (*call.Answer, bool) {
+func (d *dispatch) judge(ctx context.Context, choice placement.Choice, last bool, out outcome) (*call.Answer, bool) {
 	node := choice.Server.ID
-	p.note(choice, last, out)
+	d.note(choice, last, out)
 	if out.answer != nil {
-		p.reached++
-		p.ran = true
-		if out.answer.Status < http.StatusInternalServerError || !p.mayRepeat(ctx) {
+		d.reached++
+		d.ran = true
+		if out.answer.Status < http.StatusInternalServerError || !d.mayRepeat(ctx) {
 			return out.answer, true
 		}
-		p.granted = true
-		p.keep(out.answer)
-		p.failed = append(p.failed, node)
+		d.granted = true
+		d.keep(out.answer)
+		d.failed = append(d.failed, node)
 		return nil, false
 	}
-	p.last = out.err
+	d.last = out.err
 	switch {
 	case out.err.Kind == fault.KindHandedBack:
-		p.back = append(p.back, node)
+		d.back = append(d.back, node)
 	case out.silent:
-		p.ran = true
-		p.silent++
-		p.failed = append(p.failed, node)
+		d.ran = true
+		d.silent++
+		d.failed = append(d.failed, node)
 	case out.ran:
-		p.reached++
-		p.ran = true
-		p.failed = append(p.failed, node)
+		d.reached++
+		d.ran = true
+		d.failed = append(d.failed, node)
 	default:
 		if out.err.Kind == fault.KindShed {
-			p.reached++
+			d.reached++
 		}
-		p.failed = append(p.failed, node)
+		d.failed = append(d.failed, node)
 	}
 	return nil, false
 }
 
 // ended reports whether the request must not be sent again.
-func (p *passage) ended(ctx context.Context) bool {
-	if p.granted {
-		p.granted = false
+func (d *dispatch) ended(ctx context.Context) bool {
+	if d.granted {
+		d.granted = false
 		return false
 	}
 	switch {
-	case p.last.Kind == fault.KindOverloaded:
-		return !p.roomElsewhere(time.Now())
-	case p.last.Kind == fault.KindShed:
-		return p.reached >= p.attempts || !p.again(p.request.Service, time.Now())
-	case p.last.Outcome == fault.Refused:
+	case d.last.Kind == fault.KindOverloaded:
+		return !d.roomElsewhere(time.Now())
+	case d.last.Kind == fault.KindShed:
+		return d.reached >= d.attempts || !d.again(d.request.Service, time.Now())
+	case d.last.Outcome == fault.Refused:
 		return false // it has reached no server
-	case p.silent > 0 && p.reached == 0:
+	case d.silent > 0 && d.reached == 0:
 		// Nothing shows that a server has the request, so sending it elsewhere takes
 		// nothing from the bound on second sends. Only idempotent requests come here.
-		return p.silent > maxSilent
+		return d.silent > maxSilent
 	}
-	return !p.mayRepeat(ctx)
+	return !d.mayRepeat(ctx)
 }
 
 // roomElsewhere reports whether some server may still have room, though the one
 // that seemed best has turned the request away.
-func (p *passage) roomElsewhere(now time.Time) bool {
-	if len(p.failed) > maxTurnAways {
+func (d *dispatch) roomElsewhere(now time.Time) bool {
+	if len(d.failed) > maxTurnAways {
 		return false
 	}
-	choice, _, ok := p.choose(now)
+	choice, _, ok := d.choose(now)
 	return ok && !choice.Tried && !choice.Server.Full(now)
 }
 
 // mayRepeat reports whether a request that may have run may be sent again.
-func (p *passage) mayRepeat(ctx context.Context) bool {
+func (d *dispatch) mayRepeat(ctx context.Context) bool {
 	now := time.Now()
-	return p.request.Idempotent && ctx.Err() == nil && p.reached < p.attempts &&
-		now.Add(p.work()).Before(p.request.Deadline) && p.again(p.request.Service, now)
+	return d.request.Idempotent && ctx.Err() == nil && d.reached < d.attempts &&
+		now.Add(d.work()).Before(d.request.Deadline) && d.again(d.request.Service, now)
 }
 
 // keep holds a failed answer of a server for the case that nothing better comes.
-func (p *passage) keep(answer *call.Answer) {
-	if p.spare != nil {
-		_ = p.spare.Open().Close()
+func (d *dispatch) keep(answer *call.Answer) {
+	if d.spare != nil {
+		_ = d.spare.Open().Close()
 	}
-	p.spare = answer
+	d.spare = answer
 }
 
 // finish returns the error of the request as a whole.
-func (p *passage) finish(ctx context.Context) (*call.Answer, error) {
-	if p.spare != nil {
-		return p.spare, nil
+func (d *dispatch) finish(ctx context.Context) (*call.Answer, error) {
+	if d.spare != nil {
+		return d.spare, nil
 	}
-	err := p.last
+	err := d.last
 	switch {
 	case ctx.Err() != nil:
 		err = fault.New(fault.KindDeadline, "no answer before the deadline, or the caller left")
-		if !p.ran {
+		if !d.ran {
 			err = err.WithOutcome(fault.Refused)
 		}
 	case err == nil:
-		err = fault.New(fault.KindNoServer, "no backend server of service %q is known", p.request.Service)
+		err = fault.New(fault.KindNoServer, "no backend server of service %q is known", d.request.Service)
 	}
-	if p.ran && err.Outcome == fault.Refused {
+	if d.ran && err.Outcome == fault.Refused {
 		err = fault.New(fault.KindServerLost, "%s", err.Detail)
 	}
-	if !p.ran && err.Outcome == fault.Refused && err.Kind != fault.KindDeadline {
+	if !d.ran && err.Outcome == fault.Refused && err.Kind != fault.KindDeadline {
 		err = overloaded(spread(err.Wait)).WithOutcome(fault.Refused)
-		if p.last != nil {
-			err.Detail = p.last.Detail
+		if d.last != nil {
+			err.Detail = d.last.Detail
 		}
 	}
-	p.logEnd(err)
+	d.logEnd(err)
 	return nil, err
 }
 
@@ -224,29 +224,29 @@
 
 // note logs a send: what decided it, how old that was, and what came of it. The
 // figures of the server after it tell whether the decision was right.
-func (p *passage) note(choice placement.Choice, last bool, out outcome) {
+func (d *dispatch) note(choice placement.Choice, last bool, out outcome) {
 	age := time.Duration(-1)
 	if choice.Known {
-		age = p.sent.Sub(choice.Server.Seen)
+		age = d.sent.Sub(choice.Server.Seen)
 	}
 	fields := log.Fields{
-		"id": p.request.ID, "route": p.request.Route, "to": choice.Server.ID, "send": p.sends,
+		"id": d.request.ID, "route": d.request.Route, "to": choice.Server.ID, "send": d.sends,
 		"running": choice.Server.Running, "limit": choice.Server.Limit, "pace": choice.Server.Pace, "age": age,
-		"last": last, "took": time.Since(p.sent),
+		"last": last, "took": time.Since(d.sent),
 		"running_after": out.load.InFlight, "limit_after": out.load.Limit, "pace_after": out.load.Pace,
 	}
 	if out.answer != nil {
 		fields["status"] = out.answer.Status
-		p.Log.WithFields(fields).Debug("answered")
+		d.Log.WithFields(fields).Debug("answered")
 		return
 	}
 	fields["outcome"], fields["ran"] = string(out.err.Kind), out.err.Outcome.String()
-	p.Log.WithFields(fields).Debug("not answered")
+	d.Log.WithFields(fields).Debug("not answered")
 }
 
-func (p *passage) logEnd(err *fault.Error) {
-	p.Log.WithField("id", p.request.ID).WithField("route", p.request.Route).WithField("service", p.request.Service).
+func (d *dispatch) logEnd(err *fault.Error) {
+	d.Log.WithField("id", d.request.ID).WithField("route", d.request.Route).WithField("service", d.request.Service).
 		WithField("kind", string(err.Kind)).WithField("status", err.Status).WithField("outcome", err.Outcome.String()).
-		WithField("sends", p.sends).WithField("reached", p.reached).WithField("took", time.Since(p.start)).
-		WithField("left", time.Until(p.request.Deadline)).WithField("wait", err.Wait).WithField("cause", err.Detail).Warn("request failed")
+		WithField("sends", d.sends).WithField("reached", d.reached).WithField("took", time.Since(d.start)).
+		WithField("left", time.Until(d.request.Deadline)).WithField("wait", err.Wait).WithField("cause", err.Detail).Warn("request failed")
 }
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -52,9 +52,9 @@
 	longest map[string]time.Duration
 }
 
-// place finishes a parsed request with its route. A caller counts the latency
+// prepare finishes a parsed request with its route. A caller counts the latency
 // from its first attempt.
-func (e *entry) place(r call.Request, rt route.Route, service string, now time.Time) call.Request {
+func (e *entry) prepare(r call.Request, rt route.Route, service string, now time.Time) call.Request {
 	r.Service, r.Route, r.Idempotent, r.Priority, r.Origin = service, rt.Name, rt.Idempotent, rt.Priority, e.Service
 	limit := now.Add(rt.Timeout)
 	left := rt.Timeout
--- /dev/null
+++ b/internal/mesh/local_server.go
@@ -0,0 +1,88 @@
+package mesh
+
+import "github.com/vanillasail/vanillasail/pkg/roster"
+
+func (f *far) found(id string, healthy bool) {
+	f.mu.Lock()
+	f.lost = false
+	news := f.server.ID != id
+	if news {
+		state := roster.Draining
+		if healthy {
+			state = roster.Ready
+		}
+		f.server = roster.Server{Report: roster.Report{ID: id, State: state, Slots: f.gate.Limit.Slots()}}
+		f.gate.SetClosed(!healthy)
+	}
+	f.mu.Unlock()
+	f.Log.WithField("server", id).WithField("healthy", healthy).Info("backend server answers")
+	if news {
+		f.changed()
+	}
+}
+
+func (f *far) report(r roster.Report) bool {
+	f.mu.Lock()
+	changed, stale := f.server.Take(r)
+	if stale {
+		f.mu.Unlock()
+		return false
+	}
+	f.lost = false
+	f.gate.SetClosed(r.State != roster.Ready)
+	if r.Slots > 0 && f.gate.Limit.Slots() == 0 {
+		f.gate.Limit.SetSlots(r.Slots)
+	}
+	f.mu.Unlock()
+	if changed {
+		f.Log.WithField("server", r.ID).WithField("state", string(r.State)).WithField("slots", r.Slots).
+			WithField("seq", r.Seq).WithField("warm", r.Warm).Info("backend server reported")
+		f.changed()
+	}
+	return true
+}
+
+// left is called when a server says that it is gone.
+func (f *far) left(id string, born int64) {
+	f.mu.Lock()
+	known := f.server.Leave(id, born)
+	if known {
+		f.gate.SetClosed(true)
+	}
+	f.mu.Unlock()
+	if known {
+		f.Log.WithField("server", id).Info("backend server left")
+		f.changed()
+	}
+}
+
+func (f *far) closed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.server.State == roster.Gone
+}
+
+// known reports whether the server has told its name.
+func (f *far) known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.server.ID != ""
+}
+
+// describe writes what other nodes need to know of the server.
+func (f *far) describe(e *roster.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.Limit = f.gate.Limit.Current()
+	e.Server, e.State, e.Slots, e.Warm = f.server.ID, f.server.State, f.gate.Limit.Slots(), f.server.Warm
+	if e.Slots == 0 {
+		e.Slots = f.server.Slots
+	}
+}
+
+// limit returns the concurrency that is allowed at the moment.
+func (f *far) limit() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.Limit.Current()
+}
--- /dev/null
+++ b/internal/mesh/message_test.go
@@ -0,0 +1,46 @@
+package mesh
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+)
+
+// Guards against clocks that differ between hosts: times travel as what is left.
+func TestTimesTravelAsWhatIsLeft(t *testing.T) {
+	now := time.Now()
+	for name, objective := range map[string]time.Duration{"ahead": 300 * time.Millisecond, "passed": -50 * time.Millisecond, "now": 0} {
+		t.Run(name, func(t *testing.T) {
+			raw, err := encodeCall(call.Request{ID: "a", Deadline: now.Add(time.Second), Objective: now.Add(objective)}, now)
+			assert.NilError(t, err)
+			before := time.Now()
+			m, err := decodeMessage(raw)
+			assert.NilError(t, err)
+			assert.Assert(t, !m.Call.Objective.IsZero())
+			left := m.Call.Deadline.Sub(before)
+			assert.Assert(t, left >= time.Second && left < 2*time.Second)
+			off := m.Call.Objective.Sub(before) - objective
+			assert.Assert(t, off >= -time.Millisecond && off < time.Second)
+		})
+	}
+}
+
+// FuzzDecodeMessage checks that no message of a peer breaks a node.
+func FuzzDecodeMessage(f *testing.F) {
+	raw, err := encodeCall(call.Request{ID: "a", Header: http.Header{"A": {"b"}}, Deadline: time.Now()}, time.Now())
+	assert.NilError(f, err)
+	f.Add(raw)
+	raw, err = encode(message{News: &news{Version: 3}})
+	assert.NilError(f, err)
+	f.Add(raw)
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		m, err := decodeMessage(raw)
+		if err == nil && m.News != nil {
+			_ = m.News.Entry.Check()
+		}
+	})
+}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -128,10 +128,10 @@
 	if !ok {
 		return nil, fault.New(fault.KindNotFound, "no route for host %q and path %.80q", r.Host, r.URI)
 	}
-	p := passage{entry: &n.entry, request: n.entry.place(r, rt, service, now), attempts: rt.Attempts}
-	ctx, cancel := context.WithDeadline(ctx, p.request.Deadline)
-	answer, err := p.run(ctx)
-	n.figures.answered(p.request, answer, err, time.Since(now))
+	d := dispatch{entry: &n.entry, request: n.entry.prepare(r, rt, service, now), attempts: rt.Attempts}
+	ctx, cancel := context.WithDeadline(ctx, d.request.Deadline)
+	answer, err := d.run(ctx)
+	n.figures.answered(d.request, answer, err, time.Since(now))
 	if err != nil {
 		cancel()
 		return nil, err
