--- a/internal/logs/handler.go
+++ b/internal/logs/handler.go
@@ -26,6 +26,8 @@
 	tokens float64
 	filled time.Time
 	rate   float64
+	// now is the clock of the rate.
+	now func() time.Time
 }
 
 const (
@@ -40,7 +42,7 @@
 // New returns a handler that writes at most rate lines a second to w. Lines of
 // level info and above count at a quarter, so that they outlast the others.
 func New(w io.Writer, rate float64) *Handler {
-	h := &Handler{lines: make(chan []byte, queueLength), rate: rate, tokens: rate * burstSeconds, filled: time.Now()}
+	h := &Handler{lines: make(chan []byte, queueLength), rate: rate, tokens: rate * burstSeconds, filled: time.Now(), now: time.Now}
 	h.inner = logfmt.New(&h.buf)
 	go h.write(w)
 	return h
@@ -67,7 +69,7 @@
 }
 
 func (h *Handler) allow(level log.Level) bool {
-	now := time.Now()
+	now := h.now()
 	h.tokens = min(h.tokens+now.Sub(h.filled).Seconds()*h.rate, h.rate*burstSeconds)
 	h.filled = now
 	cost := 1.0
--- a/internal/logs/handler_test.go
+++ b/internal/logs/handler_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"gotest.tools/v3/assert"
@@ -47,16 +48,28 @@
 // Guards against a volume without bound, and against debug lines that crowd out
 // warnings.
 func TestHandlerBoundsTheRate(t *testing.T) {
-	w := &blockedWriter{release: make(chan struct{})}
-	close(w.release)
-	h := New(w, 10)
-	logger := &log.Logger{Handler: h, Level: log.DebugLevel}
-	for range 1000 {
-		logger.Debug("debug")
-	}
-	left := h.dropped.Load()
-	assert.Assert(t, left >= 900 && left < 1000, "%d of 1000 lines were left out", left)
-	for strings.Count(w.text(), "debug") < 10 {
-		runtime.Gosched()
+	for name, c := range map[string]struct {
+		write func(l *log.Logger)
+		lines int
+	}{
+		"debug":    {func(l *log.Logger) { l.Debug("line") }, 10 * burstSeconds},
+		"warnings": {func(l *log.Logger) { l.Warn("line") }, 4 * 10 * burstSeconds},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &blockedWriter{release: make(chan struct{})}
+			h := New(w, 10)
+			still := time.Now()
+			h.now = func() time.Time { return still }
+			logger := &log.Logger{Handler: h, Level: log.DebugLevel}
+			for range 1000 {
+				c.write(logger)
+			}
+			// The writer holds one line at most, and has not reported any yet.
+			assert.Equal(t, h.dropped.Load(), int64(1000-c.lines))
+			close(w.release)
+			for strings.Count(w.text(), "message=line") < c.lines {
+				runtime.Gosched()
+			}
+		})
 	}
 }
