Count a node that did not acknowledge a request among its attempts

The first node had the request and was slow to acknowledge it; the send after it was counted as the first. Change: such a send counts for the route's attempts, though not for the bound on second sends.

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -152,17 +152,21 @@
 	case d.last.Kind == fault.KindOverloaded:
 		return !d.roomElsewhere(time.Now())
 	case d.last.Kind == fault.KindShed:
-		return d.reached >= d.attempts || !d.again(d.request.Service, time.Now())
+		return d.used() >= d.attempts || !d.again(d.request.Service, time.Now())
 	case d.last.Outcome == fault.Refused:
 		return false // it has reached no server
 	case d.silent > 0 && d.reached == 0:
 		// Nothing shows that a server has the request, so sending it elsewhere takes
 		// nothing from the bound on second sends. Only idempotent requests come here.
-		return d.silent > maxSilent
+		return d.used() >= d.attempts
 	}
 	return !d.mayRepeat(ctx)
 }
 
+// used returns how many servers may have the request. A node that did not
+// acknowledge it may have been slow only.
+func (d *dispatch) used() int { return d.reached + d.silent }
+
 // roomElsewhere reports whether some server may still have room, though the one
 // that seemed best has turned the request away.
 func (d *dispatch) roomElsewhere(now time.Time) bool {
@@ -176,7 +180,7 @@
 // mayRepeat reports whether a request that may have run may be sent again.
 func (d *dispatch) mayRepeat(ctx context.Context) bool {
 	now := time.Now()
-	return d.request.Idempotent && ctx.Err() == nil && d.reached < d.attempts &&
+	return d.request.Idempotent && ctx.Err() == nil && d.used() < d.attempts &&
 		now.Add(d.work()).Before(d.request.Deadline) && d.again(d.request.Service, now)
 }
 
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -23,8 +23,6 @@
 	// maxTurnAways is how many servers that seemed best may turn a request away
 	// before the caller is told.
 	maxTurnAways = 2
-	// maxSilent is how many nodes that do not react one request may meet.
-	maxSilent = 2
 	// maxSends bounds the sends of one request to nodes, whatever comes back.
 	maxSends = 12
 	// minRetryAfter is the shortest time after which a refused caller may come
