Bring back the strict case of the limit's test, which is red

Cause: the case of a server whose last slot costs a twentieth failed with seed 17 and was widened to allow 5 of 6 slots, without a trace and without saying so. Result: seed 17 fails, 0.15 of the time outside where 0.1 is allowed.

--- a/pkg/slots/limit_test.go
+++ b/pkg/slots/limit_test.go
@@ -30,7 +30,6 @@
 		"no knee, 17 slots":  {17, 17, 1, 16, 17},
 		"knee at 9 of 12":    {12, 9, 1.7, 8, 9},
 		"knee at 13 of 17":   {17, 13, 1.7, 12, 13},
-		"small step, 5 of 6": {6, 5, 1.05, 5, 6},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20) {
@@ -84,3 +83,30 @@
 		})
 	}
 }
+
+// Guards against noise that costs a slot where the last one slows the server by a
+// twentieth only. The limit is outside for 0.15 of the time with seed 17.
+func TestLimitKeepsASmallStep(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		var l Limit
+		l.SetSlots(6)
+		wrong, steps := 0, 4000
+		for i := range steps {
+			n := 1 + r.IntN(l.Current())
+			if r.IntN(2) == 0 {
+				n = l.Current()
+			}
+			ratio := spell(r)
+			if n > 5 {
+				ratio *= 1.05
+			}
+			l.Observe(n, ratio)
+			if i > steps/4 && l.Current() != 6 {
+				wrong++
+			}
+		}
+		share := float64(wrong) / float64(steps*3/4)
+		assert.Assert(t, share < 0.1, "seed %d: the limit was not 6 for %.2f of the time", seed, share)
+	}
+}
