--- a/pkg/slots/limit_test.go
+++ b/pkg/slots/limit_test.go
@@ -26,10 +26,10 @@
 		slowdown    float64
 		low, high   int
 	}{
-		"no knee, 12 slots":  {12, 12, 1, 11, 12},
-		"no knee, 17 slots":  {17, 17, 1, 16, 17},
-		"knee at 9 of 12":    {12, 9, 1.7, 8, 9},
-		"knee at 13 of 17":   {17, 13, 1.7, 12, 13},
+		"no knee, 12 slots": {12, 12, 1, 11, 12},
+		"no knee, 17 slots": {17, 17, 1, 16, 17},
+		"knee at 9 of 12":   {12, 9, 1.7, 8, 9},
+		"knee at 13 of 17":  {17, 13, 1.7, 12, 13},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20) {
