Add the controls of the measured node before it serves

Cause: one of three runs of TestMemoryAtTheTarget with the race detector beside load showed a data race: the test added control messages to a transport that served already.

Change: newTransport returns one that does not serve yet.

--- a/internal/capacity/peer_test.go
+++ b/internal/capacity/peer_test.go
@@ -60,18 +60,27 @@
 	return nil
 }
 
+// transport returns one that serves.
 func transport(id, cert, key, ca string) (*node.Transport, error) {
+	t, err := newTransport(id, cert, key, ca)
+	if err != nil {
+		return nil, err
+	}
+	return t, t.Listen("127.0.0.1:0")
+}
+
+// newTransport returns one to which controls can be added before it serves.
+func newTransport(id, cert, key, ca string) (*node.Transport, error) {
 	credentials := &node.Credentials{}
 	if err := credentials.Replace([]byte(cert), []byte(key), []byte(ca)); err != nil {
 		return nil, err
 	}
-	t := &node.Transport{
+	return &node.Transport{
 		ID: id, Calls: fixedAnswer{}, MaxBody: 1 << 20, Credentials: credentials,
 		Controls: map[string]node.ControlFunc{kindMemory: func(context.Context, string, []byte) ([]byte, error) {
 			return binary.BigEndian.AppendUint64(nil, math.Float64bits(retained())), nil
 		}, kindUse: func(context.Context, string, []byte) ([]byte, error) { return nil, nil }},
-	}
-	return t, t.Listen("127.0.0.1:0")
+	}, nil
 }
 
 // BenchmarkLinks measures the memory of each end of idle connections between
--- a/internal/capacity/target_test.go
+++ b/internal/capacity/target_test.go
@@ -82,7 +82,7 @@
 	kept := targetState()
 	var w watcher
 	go w.run()
-	t, err := transport("links", k.cert, k.key, k.authority)
+	t, err := newTransport("links", k.cert, k.key, k.authority)
 	if err != nil {
 		return err
 	}
@@ -100,6 +100,9 @@
 	}
 	t.Controls[kindReset] = func(context.Context, string, []byte) ([]byte, error) { return nil, w.reset() }
 	t.Controls[kindUsage] = func(context.Context, string, []byte) ([]byte, error) { return json.Marshal(w.end(t)) }
+	if err := t.Listen("127.0.0.1:0"); err != nil {
+		return err
+	}
 	line, err := json.Marshal(addresses{d.CallerAddr(), d.PeerAddr(), d.AnnounceAddr(), t.Addr()})
 	if err != nil {
 		return err
