Probe nodes that cannot be reached instead of sending them requests

Each node tried each of them again after 0.2 to 3 s with a request, and a request that may not be repeated failed with it: 1,518 answers 502 or 504 to requests that had reached no server. A connection that had gone silent was also kept as long as all its requests gave up before 1.5 s.

Change: pkg/reach keeps a peer out until a probe has come back. A request that may not be repeated leaves only on a connection with a sign of life in the last 50 ms, and asks for one otherwise. A connection that did not react gets no new streams.

--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -6,14 +6,11 @@
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/reach"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
 const (
-	// avoidFirst and avoidMost bound how long a peer that failed gets no requests;
-	// the time doubles with each failure in a row.
-	avoidFirst = 200 * time.Millisecond
-	avoidMost  = 3 * time.Second
 	// failShare is the share of failed requests from which a server is avoided,
 	// and failMemory how many requests weigh in it.
 	failShare  = 0.4
@@ -29,6 +26,8 @@
 	mu     sync.Mutex
 	roster roster.Roster
 	loads  map[string]*serverLoad
+	// out holds the nodes that cannot be reached.
+	out map[string]struct{}
 }
 
 // serverLoad is what this node has seen of one server.
@@ -38,23 +37,14 @@
 	// open counts this node's requests at the server, since those that began
 	// after seen.
 	open, since int
-	// failures counts unreachable attempts in a row.
-	failures int
-	// down and ailing are until when the server is avoided, because its node could
-	// not be reached or because its answers fail.
-	down, ailing time.Time
+	reach       reach.Peer
+	// ailing is until when the server is avoided because its answers fail.
+	ailing time.Time
 	// failed is the smoothed share of failed requests.
 	failed  float64
 	samples float64
 }
 
-func (l *serverLoad) avoid() time.Time {
-	if l.ailing.After(l.down) {
-		return l.ailing
-	}
-	return l.down
-}
-
 // merge takes entries and returns those that were new.
 func (d *directory) merge(entries []roster.Entry, now time.Time) []roster.Entry {
 	d.mu.Lock()
@@ -71,12 +61,18 @@
 		}
 		changed = append(changed, e)
 		if !known || old.Start != e.Start || old.Server != e.Server {
-			delete(d.loads, e.Node)
+			d.drop(e.Node)
 		}
 	}
 	return changed
 }
 
+// drop forgets what was seen of a node's server. It is called with the lock.
+func (d *directory) drop(node string) {
+	delete(d.loads, node)
+	delete(d.out, node)
+}
+
 // servers returns the candidates for a service.
 func (d *directory) servers(service string, buf []placement.Server) []placement.Server {
 	d.mu.Lock()
@@ -87,7 +83,7 @@
 		}
 		s := placement.Server{ID: e.Node, Distance: d.distance(e), ColdUntil: d.roster.WarmUntil(e.Node), Limit: e.Slots}
 		if l := d.loads[e.Node]; l != nil {
-			s.Mine, s.Avoid = l.since, l.avoid()
+			s.Mine, s.Out, s.Avoid = l.since, l.reach.Out(), l.ailing
 			if !l.seen.IsZero() {
 				s.Seen, s.Running, s.Limit, s.Pace, s.Wait = l.seen, l.load.InFlight, l.load.Limit, l.load.Pace, l.load.Wait
 				s.Ailing = l.load.Ailing
@@ -141,7 +137,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.roster.Remove(node)
-	delete(d.loads, node)
+	d.drop(node)
 }
 
 func (d *directory) loadOf(node string) *serverLoad {
@@ -180,16 +176,62 @@
 	defer d.mu.Unlock()
 	l := d.loadOf(node)
 	l.load, l.seen, l.since = load, now, 0
-	l.failures, l.down = 0, time.Time{}
 }
 
-// unreachable avoids a node for a while.
-func (d *directory) unreachable(node string, now time.Time) {
+// unreachable sends a node no more requests until a probe comes back.
+func (d *directory) unreachable(node string, cause error, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l := d.loadOf(node)
-	l.down = now.Add(min(avoidFirst<<min(l.failures, 8), avoidMost))
-	l.failures++
+	if _, known := d.roster.Get(node); !known {
+		return
+	}
+	if !d.loadOf(node).reach.Failed(now) {
+		return
+	}
+	if d.out == nil {
+		d.out = make(map[string]struct{})
+	}
+	d.out[node] = struct{}{}
+	d.Log.WithError(cause).WithField("node", node).WithField("out", len(d.out)).Warn("node cannot be reached")
+}
+
+// reached notes that a node has reacted.
+func (d *directory) reached(node string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := d.loads[node]; l != nil && l.reach.Answered() {
+		delete(d.out, node)
+		d.Log.WithField("node", node).WithField("out", len(d.out)).Info("node can be reached again")
+	}
+}
+
+// heard notes that a node has sent something.
+func (d *directory) heard(node string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := d.loads[node]; l != nil {
+		l.reach.Hint(now)
+	}
+}
+
+// due returns the nodes to probe now, and those that have been out for so long
+// that they are gone.
+func (d *directory) due(now time.Time) (probe, lost []roster.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for node := range d.out {
+		e, known := d.roster.Get(node)
+		l := d.loads[node]
+		switch {
+		case !known || l == nil:
+			delete(d.out, node)
+		case l.reach.Lost(now):
+			lost = append(lost, e)
+		case l.reach.Due(now):
+			probe = append(probe, e)
+		}
+	}
+	return probe, lost
 }
 
 // outcome counts whether a server's answers fail, and avoids one that fails often.
--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -236,7 +236,7 @@
 	fields := log.Fields{
 		"id": d.request.ID, "route": d.request.Route, "to": choice.Server.ID, "send": d.sends,
 		"running": choice.Server.Running, "limit": choice.Server.Limit, "pace": choice.Server.Pace, "age": age,
-		"last": last, "took": time.Since(d.sent),
+		"bytes": len(d.request.Body), "last": last, "took": time.Since(d.sent),
 		"running_after": out.load.InFlight, "limit_after": out.load.Limit, "pace_after": out.load.Pace,
 	}
 	if out.answer != nil {
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -139,10 +139,11 @@
 	if err != nil {
 		return outcome{err: fault.As(err).WithOutcome(fault.Refused)}
 	}
-	answer, err := e.peers.Call(ctx, to.Addr, peer.Request{Head: head, Body: body, Impatient: r.Idempotent})
+	answer, err := e.peers.Call(ctx, to.Addr, peer.Request{Head: head, Body: body, Impatient: r.Idempotent, Sure: !r.Idempotent})
 	if err != nil {
 		return e.lost(ctx, node, err)
 	}
+	e.directory.reached(node)
 	var reply response
 	if err := msgpack.Unmarshal(answer.Head, &reply); err != nil {
 		_ = answer.Body.Close()
@@ -165,7 +166,7 @@
 	if ctx.Err() != nil {
 		return outcome{err: fault.New(fault.KindDeadline, "no answer before the deadline, or the caller left"), ran: true}
 	}
-	e.directory.unreachable(node, time.Now())
+	e.directory.unreachable(node, err, time.Now())
 	failure := fault.New(fault.KindUnreachable, "node %s: %v", node, err)
 	if errors.Is(err, peer.ErrNotSent) {
 		return outcome{err: failure.WithOutcome(fault.Refused)}
--- a/internal/mesh/news.go
+++ b/internal/mesh/news.go
@@ -18,8 +18,8 @@
 	newsTimeout = time.Second
 	// newsRetry is how often peers that could not be told are tried again.
 	newsRetry = time.Second
-	// newsTries is how often a peer is tried before its entry is dropped: a host
-	// that does not answer for that long is gone, and tells of itself if it returns.
+	// newsTries is how often a peer is told of an entry; one that comes back later
+	// learns it from the probe that finds it.
 	newsTries = 15
 	// publishRetry and publishMost bound the wait between writes that failed.
 	publishRetry = 300 * time.Millisecond
@@ -124,7 +124,7 @@
 	own := a.entry()
 	reply, err := a.exchange(ctx, to, own)
 	if err != nil {
-		a.failed(ctx, to)
+		a.failed(to, err)
 		return
 	}
 	a.settle(name, own.Change)
@@ -180,6 +180,7 @@
 		return response{}, err
 	}
 	defer answer.Body.Close()
+	a.directory.reached(to.Node)
 	var reply response
 	return reply, msgpack.Unmarshal(answer.Head, &reply)
 }
@@ -193,25 +194,16 @@
 	}
 }
 
-// failed counts a try; a peer that was tried often enough is forgotten.
-func (a *announcer) failed(ctx context.Context, to roster.Entry) {
+// failed counts a try to tell a peer.
+func (a *announcer) failed(to roster.Entry, cause error) {
+	a.directory.unreachable(to.Node, cause, time.Now())
 	a.mu.Lock()
-	left, owed := a.owed[to.Node]
-	if owed {
-		left--
-		a.owed[to.Node] = left
-	}
-	a.mu.Unlock()
-	a.directory.unreachable(to.Node, time.Now())
-	if !owed || left > 0 {
+	defer a.mu.Unlock()
+	if left, owed := a.owed[to.Node]; owed && left > 1 {
+		a.owed[to.Node] = left - 1
 		return
 	}
-	a.Log.WithField("node", to.Node).WithField("addr", to.Addr).Warn("node does not answer and is forgotten")
-	a.settle(to.Node, 0)
-	a.directory.forget(to.Node)
-	if err := a.Registry.Withdraw(ctx, to); err != nil {
-		a.Log.WithError(err).WithField("node", to.Node).Warn("entry of a lost node stays")
-	}
+	delete(a.owed, to.Node)
 }
 
 // hear takes what another node says of itself.
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -155,6 +155,7 @@
 
 // answer serves another node.
 func (n *Node) answer(ctx context.Context, in peer.Incoming) peer.Reply {
+	n.directory.heard(string(in.From), time.Now())
 	m, err := decodeMessage(in.Head)
 	if err != nil {
 		return n.reply(response{Fault: fault.As(err)}, nil)
@@ -273,6 +274,7 @@
 		select {
 		case now := <-tick.C:
 			n.callers.Tick()
+			prober{&n.announcer}.tick(n.running, now)
 			if now.Sub(checked) >= keepInterval {
 				checked = now
 				n.keepLimit()
--- /dev/null
+++ b/internal/mesh/prober.go
@@ -0,0 +1,41 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillasail/vanillasail/pkg/roster"
+)
+
+// prober asks nodes that could not be reached whether they are back, and forgets
+// those that stay away.
+type prober struct {
+	*announcer
+}
+
+// tick sends the probes that are due.
+func (p prober) tick(ctx context.Context, now time.Time) {
+	probe, lost := p.directory.due(now)
+	for _, e := range probe {
+		go p.probe(ctx, e)
+	}
+	for _, e := range lost {
+		p.Log.WithField("node", e.Node).WithField("addr", e.Addr).Warn("node is gone for good and is forgotten")
+		p.directory.forget(e.Node)
+		go p.withdraw(ctx, e)
+	}
+}
+
+// probe exchanges entries, so that both sides know what they missed.
+func (p prober) probe(ctx context.Context, to roster.Entry) {
+	reply, err := p.exchange(ctx, to, p.entry())
+	if err == nil && reply != nil {
+		p.hear(ctx, *reply)
+	}
+}
+
+func (p prober) withdraw(ctx context.Context, e roster.Entry) {
+	if err := p.Registry.Withdraw(ctx, e); err != nil {
+		p.Log.WithError(err).WithField("node", e.Node).Warn("entry of a lost node stays")
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -55,6 +55,10 @@
 	Head, Body []byte
 	// Impatient gives up with ErrSilent when the peer does not acknowledge in time.
 	Impatient bool
+	// Sure sends the request only on a connection that has shown a sign of life a
+	// moment ago, and asks for one if need be. It is for requests that cannot be
+	// sent elsewhere once they have left.
+	Sure bool
 }
 
 // Call sends the request once.
@@ -63,12 +67,21 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Sure {
+		if err := l.confirm(ctx, c.patience()); err != nil {
+			c.retire(addr, l)
+			return nil, err
+		}
+	}
 	s, err := l.open(r)
 	if err != nil {
 		return nil, err
 	}
 	if err := c.await(ctx, s, r.Impatient); err != nil {
 		l.drop(s, true)
+		if errors.Is(err, ErrSilent) {
+			c.retire(addr, l)
+		}
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() {
@@ -80,11 +93,7 @@
 
 func (c *Client) await(ctx context.Context, s *stream, impatient bool) error {
 	if impatient {
-		patience := c.Patience
-		if patience == 0 {
-			patience = defaultPatience
-		}
-		timer := time.NewTimer(patience)
+		timer := time.NewTimer(c.patience())
 		defer timer.Stop()
 		select {
 		case <-s.accepted:
@@ -110,6 +119,13 @@
 
 const defaultPatience = 250 * time.Millisecond
 
+func (c *Client) patience() time.Duration {
+	if c.Patience > 0 {
+		return c.Patience
+	}
+	return defaultPatience
+}
+
 // link returns the connection to a peer, and dials if there is none.
 func (c *Client) link(ctx context.Context, addr string) (*link, error) {
 	c.mu.Lock()
@@ -161,6 +177,13 @@
 	}
 }
 
+// retire takes no more requests on a connection that may have gone silent; the
+// next one gets a new connection.
+func (c *Client) retire(addr string, l *link) {
+	c.forget(addr, l)
+	l.retire()
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"net"
 	"sync"
@@ -19,6 +20,9 @@
 	// connection counts as lost. A lost packet is sent again after 200 ms and
 	// then 400 ms; the rest is for a peer that is busy.
 	silentAfter = 1500 * time.Millisecond
+	// signTime is how old the last sign of life may be for a request that must not
+	// be lost: a few round trips between regions.
+	signTime = 50 * time.Millisecond
 )
 
 // link is one connection to a peer, seen from the side that dialled.
@@ -30,9 +34,13 @@
 	mu      sync.Mutex
 	streams map[uint32]*stream
 	next    uint32
+	// retired connections end with their last stream.
+	retired bool
 	ended   bool
 	// heard is when the last frame came, asked when the last ping went out.
 	heard, asked time.Time
+	// sign is closed by the next frame; it is nil while nobody waits for one.
+	sign chan struct{}
 	// used is when a stream was last open.
 	used  time.Time
 	watch *time.Timer
@@ -54,6 +62,34 @@
 	return l.ended
 }
 
+// confirm returns when the peer has shown a sign of life. An error means that
+// nothing was sent to it but a ping.
+func (l *link) confirm(ctx context.Context, patience time.Duration) error {
+	l.mu.Lock()
+	if time.Since(l.heard) <= signTime {
+		l.mu.Unlock()
+		return nil
+	}
+	if l.sign == nil {
+		l.sign = make(chan struct{})
+	}
+	sign := l.sign
+	l.mu.Unlock()
+	if err := l.socket.frame(framePing, 0, nil); err != nil {
+		return eris.Wrap(ErrNotSent, err.Error())
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-sign:
+		return nil
+	case <-timer.C:
+		return eris.Wrap(ErrNotSent, "the peer answered no ping")
+	case <-ctx.Done():
+		return eris.Wrap(ErrNotSent, ctx.Err().Error())
+	}
+}
+
 // open sends a request on a new stream.
 func (l *link) open(r Request) (*stream, error) {
 	l.mu.Lock()
@@ -109,6 +145,10 @@
 		}
 		l.mu.Lock()
 		l.heard = time.Now()
+		if l.sign != nil {
+			close(l.sign)
+			l.sign = nil
+		}
 		s := l.streams[f.stream]
 		l.mu.Unlock()
 		if s != nil {
@@ -123,11 +163,25 @@
 	_, known := l.streams[s.id]
 	delete(l.streams, s.id)
 	l.used = time.Now()
-	ended := l.ended
+	ended, last := l.ended, l.retired && len(l.streams) == 0
 	l.mu.Unlock()
 	if known && tell && !ended {
 		_ = l.socket.frame(frameReset, s.id, nil) // the reader sees a failed connection
 	}
+	if last {
+		l.end(ErrLost)
+	}
+}
+
+// retire ends the connection once no stream is left.
+func (l *link) retire() {
+	l.mu.Lock()
+	l.retired = true
+	last := len(l.streams) == 0
+	l.mu.Unlock()
+	if last {
+		l.end(ErrLost)
+	}
 }
 
 func (l *link) credit(id uint32, n int) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,10 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/standin/relay"
 )
 
 func start(t *testing.T, h Handler) (*Client, string) {
@@ -119,3 +122,45 @@
 	_, err = c.Call(context.Background(), l.Addr().String(), Request{})
 	assert.ErrorIs(t, err, ErrLost)
 }
+
+// Guards against a connection that has gone silent: a request that may not be
+// repeated must not be lost in it, and no later request may use it, since each
+// would wait for nothing again.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		request Request
+		want    error
+	}{
+		"request that must be known to be sent": {Request{Head: []byte("q"), Sure: true}, ErrNotSent},
+		"request that can go elsewhere":         {Request{Head: []byte("q"), Impatient: true}, ErrSilent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var served atomic.Int32
+			client, addr := start(t, func(context.Context, Incoming) Reply {
+				served.Add(1)
+				return Reply{Head: []byte("h")}
+			})
+			client.Patience = 50 * time.Millisecond
+			path := relay.Relay{Target: addr}
+			assert.NilError(t, path.StartTCP("127.0.0.1:0"))
+			t.Cleanup(path.Close)
+			call := func() error {
+				a, err := client.Call(context.Background(), path.TCPAddr(), c.request)
+				if err == nil {
+					err = a.Body.Close()
+				}
+				return err
+			}
+			assert.NilError(t, call())
+			path.Set(relay.Silent)
+			l := client.links[path.TCPAddr()]
+			l.mu.Lock()
+			l.heard = l.heard.Add(-2 * signTime)
+			l.mu.Unlock()
+			assert.ErrorIs(t, call(), c.want)
+			assert.Assert(t, path.Dropped() > 0)
+			assert.NilError(t, call())
+			assert.Equal(t, served.Load(), int32(2))
+		})
+	}
+}
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -47,7 +47,10 @@
 	Seen time.Time
 	// Mine is the number of this node's requests at the server that began after Seen.
 	Mine int
-	// Avoid is until when the server should get no requests, because it failed.
+	// Out is set while the node beside the server cannot be reached.
+	Out bool
+	// Avoid is until when the server should get no requests, because its answers
+	// fail.
 	Avoid time.Time
 	// ColdUntil is when the server has warmed up after its start.
 	ColdUntil time.Time
@@ -97,6 +100,8 @@
 	// avoidCost keeps a failing server behind all others without excluding it
 	// where there is no other.
 	avoidCost = 10 * time.Second
+	// outCost keeps a server that cannot be reached behind those that fail.
+	outCost = time.Minute
 )
 
 // Pick returns the server with the least expected cost.
@@ -133,6 +138,9 @@
 	if now.Before(s.Avoid) {
 		score += avoidCost
 	}
+	if s.Out {
+		score += outCost
+	}
 	if now.Before(s.ColdUntil) {
 		score += coldCost
 	}
--- a/pkg/placement/pick_test.go
+++ b/pkg/placement/pick_test.go
@@ -47,6 +47,9 @@
 		"a failing server is the last": {
 			[]Server{with(near, func(s *Server) { s.Avoid = now.Add(time.Second) }), far}, lookup, nil, "far",
 		},
+		"a failing server before one that cannot be reached": {
+			[]Server{with(near, func(s *Server) { s.Out = true }), with(far, func(s *Server) { s.Avoid = now.Add(time.Second) })}, lookup, nil, "far",
+		},
 		"a failing server when there is no other": {
 			[]Server{with(near, func(s *Server) { s.Avoid = now.Add(time.Second) })}, lookup, nil, "near",
 		},
--- /dev/null
+++ b/pkg/reach/peer_test.go
@@ -0,0 +1,112 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// partition replays ten seconds in which a third of 30 peers does not answer, with
+// 15 requests a second. It returns how many requests met such a peer, and how long
+// after the end the last peer was used again.
+func partition(usable func(i int, now time.Time) bool, failed func(i int, now time.Time), probe func(i int, now time.Time, up bool)) (met int, back time.Duration) {
+	const peers, cut = 30, 10
+	end := epoch.Add(10 * time.Second)
+	request := 0
+	for now := epoch; now.Before(end.Add(5 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		up := !now.Before(end)
+		for i := range cut {
+			probe(i, now, up)
+		}
+		if request++; request%7 == 0 { // every 70 ms
+			i := request / 7 % peers
+			for !usable(i, now) {
+				i = (i + 1) % peers
+			}
+			if i < cut && !up {
+				met++
+				failed(i, now)
+			}
+		}
+		if up {
+			waiting := false
+			for i := range cut {
+				waiting = waiting || !usable(i, now)
+			}
+			if !waiting {
+				return met, now.Sub(end)
+			}
+		}
+	}
+	return met, time.Hour
+}
+
+// Guards against requests that are spent on peers that cannot be reached: with
+// pauses that end by themselves, each pause costs one.
+func TestPartitionCostsOneRequestAPeer(t *testing.T) {
+	var peers [10]Peer
+	met, back := partition(
+		func(i int, _ time.Time) bool { return i >= len(peers) || !peers[i].Out() },
+		func(i int, now time.Time) { peers[i].Failed(now) },
+		func(i int, now time.Time, up bool) {
+			if !peers[i].Due(now) {
+				return
+			}
+			if up {
+				peers[i].Answered()
+			}
+		},
+	)
+	assert.Assert(t, met <= len(peers), "%d requests met a peer that was cut off", met)
+	assert.Assert(t, back <= mostPause, "a peer was unused for %s after the end", back)
+
+	var until [10]time.Time
+	var failures [10]int
+	paused, _ := partition(
+		func(i int, now time.Time) bool { return i >= len(until) || !now.Before(until[i]) },
+		func(i int, now time.Time) {
+			until[i] = now.Add(min(200*time.Millisecond<<failures[i], 3*time.Second))
+			failures[i]++
+		},
+		func(int, time.Time, bool) {},
+	)
+	assert.Assert(t, paused >= 3*met, "pauses alone cost %d requests, probes %d", paused, met)
+}
+
+// Guards against each wrong step of the state.
+func TestSteps(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(p *Peer)
+		out  bool
+		next time.Duration
+	}{
+		"never failed":            {func(*Peer) {}, false, 0},
+		"failed":                  {func(p *Peer) { p.Failed(epoch) }, true, firstProbe},
+		"failed twice at once":    {func(p *Peer) { p.Failed(epoch); p.Failed(epoch.Add(time.Millisecond)) }, true, firstProbe},
+		"failed again":            {func(p *Peer) { p.Failed(epoch); p.Failed(epoch.Add(firstProbe)) }, true, 3 * firstProbe},
+		"probed without answer":   {func(p *Peer) { p.Failed(epoch); p.Due(epoch.Add(firstProbe)) }, true, firstProbe + mostPause},
+		"answered":                {func(p *Peer) { p.Failed(epoch); p.Answered() }, false, 0},
+		"heard from":              {func(p *Peer) { p.Failed(epoch); p.Hint(epoch.Add(time.Millisecond)) }, true, time.Millisecond},
+		"heard from without need": {func(p *Peer) { p.Hint(epoch) }, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Peer
+			c.do(&p)
+			assert.Equal(t, p.Out(), c.out)
+			if c.out {
+				assert.Assert(t, !p.Due(epoch.Add(c.next-time.Millisecond)))
+				assert.Assert(t, p.Due(epoch.Add(c.next)))
+			}
+		})
+	}
+	var p Peer
+	assert.Assert(t, p.Failed(epoch))
+	assert.Assert(t, !p.Failed(epoch.Add(time.Second)))
+	assert.Assert(t, !p.Lost(epoch.Add(lostAfter-time.Second)))
+	assert.Assert(t, p.Lost(epoch.Add(lostAfter)))
+	assert.Assert(t, p.Answered())
+	assert.Assert(t, !p.Answered())
+}
