Learn the limit from the concurrency at the start of a run, with other nodes

One server also finishes too few runs within an overload.

Change: runs are compared by the concurrency at which they began, and nodes of a service and region tell each other what they found, in 6 bytes a level every 4 s at most, on answers.

--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -153,6 +153,9 @@
 	if reply.Load != nil {
 		out.load = *reply.Load
 	}
+	if len(reply.Learned) > 0 {
+		e.directory.learned(node, reply.Learned)
+	}
 	if reply.Fault != nil {
 		_ = answer.Body.Close()
 		return out
--- a/internal/mesh/far.go
+++ b/internal/mesh/far.go
@@ -232,6 +232,20 @@
 	}
 }
 
+// learned returns what other nodes of the service should know of the slots.
+func (f *far) learned() slots.Summary {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.Limit.Summary()
+}
+
+// learnFrom takes what other nodes of the service know of the slots.
+func (f *far) learnFrom(others []slots.Summary) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.Limit.SetOthers(others)
+}
+
 // suggest passes a limit that was found before; it holds once slots are known.
 func (f *far) suggest(limit int) {
 	f.mu.Lock()
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -10,6 +10,7 @@
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/slots"
 )
 
 // message is the head of what one node sends another. Exactly one field is set.
@@ -38,8 +39,10 @@
 	Length int64        `msgpack:"n,omitempty"`
 	Load   *call.Load   `msgpack:"l,omitempty"`
 	// Ran tells whether the request has reached the backend server.
-	Ran  bool  `msgpack:"r,omitempty"`
-	News *news `msgpack:"w,omitempty"`
+	Ran bool `msgpack:"r,omitempty"`
+	// Learned is set now and then for a node whose server is of the same service.
+	Learned slots.Summary `msgpack:"k,omitempty"`
+	News    *news         `msgpack:"w,omitempty"`
 }
 
 func encode(v any) ([]byte, error) {
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -53,6 +53,11 @@
 	// in the registry, and limitDrift the difference that is written.
 	keepInterval = 5 * time.Second
 	limitDrift   = 2
+	// poolInterval is how often what other nodes learned of their servers is taken
+	// over, and toldInterval how often one of them is told; an overload lasts for
+	// seconds.
+	poolInterval = time.Second
+	toldInterval = 4 * time.Second
 	// spreadTo is how many nodes are told of a new version; with three, one of
 	// twenty that the registry misses is missed here too, and asks after its next
 	// failure.
@@ -175,6 +180,9 @@
 	r.Body = in.Body
 	out := n.far.serve(ctx, r)
 	head := response{Fault: out.err, Ran: out.ran, Load: &out.load}
+	if n.directory.tellLimit(string(in.From), time.Now()) {
+		head.Learned = n.far.learned()
+	}
 	if out.answer == nil {
 		return n.reply(head, nil)
 	}
@@ -269,10 +277,14 @@
 func (n *Node) tickLoop() {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	checked := time.Now()
+	checked, pooled := time.Now(), time.Now()
 	for {
 		select {
 		case now := <-tick.C:
+			if now.Sub(pooled) >= poolInterval {
+				pooled = now
+				n.far.learnFrom(n.directory.summaries())
+			}
 			n.callers.Tick()
 			prober{&n.announcer}.tick(n.running, now)
 			if now.Sub(checked) >= keepInterval {
--- a/pkg/slots/gate.go
+++ b/pkg/slots/gate.go
@@ -71,8 +71,9 @@
 	entered  time.Time
 	started  time.Time
 	progress time.Duration
-	level    int
-	waiting  bool
+	// level is the number of requests that ran when this one began, itself included.
+	level   int
+	waiting bool
 }
 
 // Load is what other nodes are told of the server.
@@ -251,13 +252,12 @@
 		m = &mean{}
 		g.usual[run.Kind] = m
 	}
-	level := (run.level + g.running) / 2
 	if m.samples >= 3 {
-		g.Limit.Observe(level, took/m.value)
+		g.Limit.Observe(run.level, took/m.value)
 	}
 	// What is usual is learned where the server is not crowded, or a slowdown at
 	// high concurrency would become the measure of itself.
-	if m.samples < 3 || 2*level <= g.Limit.Slots()+2 || level <= g.Limit.Slots()*2/3 {
+	if m.samples < 3 || 2*run.level <= g.Limit.Slots()+2 || run.level <= g.Limit.Slots()*2/3 {
 		m.add(took)
 	}
 	g.all.add(took)
