Let a few nodes follow the store and the others follow them

Every other node holds a request open at two of them, which answer with the next version, or at once when they have lost the store or stop. The version also travels with requests and answers, and a node that sees a newer one fetches it. A starting node waits up to 1 s for its server's name, so that its entry is written once.

--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	// last heard the same of this node's.
 	learned slots.Summary
 	told    time.Time
+	// noRelay is until when the node is not followed.
+	noRelay time.Time
 }
 
 // merge takes entries and returns those that were new.
@@ -291,3 +294,37 @@
 	l.told = now
 	return true
 }
+
+// passOver follows a node no more until a time.
+func (d *directory) passOver(node string, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.loadOf(node).noRelay = until
+}
+
+// relays returns the nodes to follow, in an order of this node's own; nil means
+// that this node follows the registry.
+func (d *directory) relays(now time.Time) []roster.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := d.roster.Followers(d.Region, func(e roster.Entry) bool {
+		l := d.loads[e.Node]
+		return l == nil || !l.reach.Out()
+	})
+	region := 0
+	kept := all[:0]
+	for _, e := range all {
+		if e.Node == d.Node {
+			return nil
+		}
+		if l := d.loads[e.Node]; l != nil && now.Before(l.noRelay) {
+			continue
+		}
+		if e.Region == d.Region {
+			region++
+		}
+		kept = append(kept, e)
+	}
+	rand.Shuffle(region, func(i, j int) { kept[i], kept[j] = kept[j], kept[i] })
+	return kept
+}
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -13,6 +13,7 @@
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
 	"github.com/vanillasail/vanillasail/pkg/retry"
+	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
 )
 
@@ -42,6 +43,10 @@
 	directory *directory
 	far       *far
 	peers     *peer.Client
+	// version returns that of the configuration in force, and seen is called with
+	// that of another node.
+	version func() uint64
+	seen    func(version uint64, from roster.Entry)
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -135,7 +140,7 @@
 	}
 	body := r.Body
 	r.Body = nil
-	head, err := encodeCall(r, time.Now())
+	head, err := encodeCall(r, e.version(), time.Now())
 	if err != nil {
 		return outcome{err: fault.As(err).WithOutcome(fault.Refused)}
 	}
@@ -153,6 +158,7 @@
 	if reply.Load != nil {
 		out.load = *reply.Load
 	}
+	e.seen(reply.Version, to)
 	if len(reply.Learned) > 0 {
 		e.directory.learned(node, reply.Learned)
 	}
--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
 )
 
@@ -20,6 +21,9 @@
 	trialWait = time.Second
 	// calmWait is the same while all is well, when each call costs.
 	calmWait = 30 * time.Second
+	// joinPatience is how long a starting node waits to know whether others follow
+	// the registry for it.
+	joinPatience = 2 * time.Second
 )
 
 // follower keeps the newest configuration. It never goes back to an older one.
@@ -29,10 +33,24 @@
 	applied func(t *route.Table)
 	// outage is called each time the registry fails.
 	outage func(ctx context.Context)
+	// relays returns the nodes to follow instead of the registry; nil means that
+	// this node follows the registry itself.
+	relays func() []roster.Entry
+	// joined is closed when this node knows the others.
+	joined chan struct{}
+	// ask asks another node for the next version after that of this node.
+	ask func(ctx context.Context, to roster.Entry) (Versioned, error)
 
 	mu    sync.Mutex
 	raw   []byte
 	table atomic.Pointer[route.Table]
+	// changed is closed by the next change of what nodes that follow this one need
+	// to know.
+	changed chan struct{}
+	// down is set while the registry does not answer.
+	down bool
+	// held counts the requests of nodes that follow this one.
+	held int
 }
 
 func (f *follower) version() uint64 {
@@ -62,6 +80,7 @@
 	table := route.NewTable(v.Document)
 	f.raw = v.Raw
 	f.table.Store(table)
+	f.wake()
 	f.mu.Unlock()
 	f.Log.WithField("version", v.Document.Version).WithField("routes", len(v.Document.Routes)).
 		WithField("from", from).Info("configuration in force")
@@ -75,19 +94,37 @@
 	return calmWait
 }
 
-// run follows the registry until ctx ends.
+// wake tells those who wait for a change. It is called with the lock.
+func (f *follower) wake() {
+	if f.changed != nil {
+		close(f.changed)
+	}
+	f.changed = make(chan struct{})
+}
+
+// setDown notes whether the registry answers.
+func (f *follower) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down != down {
+		f.down = down
+		f.wake()
+	}
+}
+
+// run follows the registry, or nodes that do, until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	var position uint64
 	known, down := false, false
 	wait := followRetry
 	for ctx.Err() == nil {
-		var v Versioned
-		var err error
 		if known {
-			v, err = f.Registry.Changed(ctx, position, followWait(down))
-		} else {
-			v, err = f.Registry.Configuration(ctx)
+			if relays := f.relays(); len(relays) > 0 {
+				f.followNodes(ctx, relays)
+				continue
+			}
 		}
+		v, err := f.next(ctx, known, down, position)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -99,6 +136,7 @@
 				f.Log.WithError(err).WithField("position", position).Warn("registry lost")
 			}
 			down = true
+			f.setDown(true)
 			f.outage(ctx)
 			sleep(ctx, spread(wait))
 			wait = min(2*wait, followMost)
@@ -106,9 +144,31 @@
 		}
 		if down {
 			f.Log.WithField("position", v.Position).Info("registry regained")
+			f.setDown(false)
 		}
-		known, down, wait = true, false, followRetry
 		position = max(position, v.Position)
 		f.apply(v, "registry")
+		if !known {
+			f.awaitOthers(ctx)
+		}
+		known, down, wait = true, false, followRetry
+	}
+}
+
+func (f *follower) awaitOthers(ctx context.Context) {
+	timer := time.NewTimer(joinPatience)
+	defer timer.Stop()
+	select {
+	case <-f.joined:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// next asks the registry for the next version, or for the present one.
+func (f *follower) next(ctx context.Context, known, down bool, position uint64) (Versioned, error) {
+	if !known {
+		return f.Registry.Configuration(ctx)
 	}
+	return f.Registry.Changed(ctx, position, followWait(down))
 }
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -19,6 +19,10 @@
 	News *news         `msgpack:"n,omitempty"`
 	// Fetch asks for the configuration.
 	Fetch bool `msgpack:"f,omitempty"`
+	// Follow asks for the next configuration after this version, once there is one.
+	Follow *uint64 `msgpack:"w,omitempty"`
+	// Version is the configuration that the sender of a Call has.
+	Version uint64 `msgpack:"v,omitempty"`
 }
 
 // news tells a peer what changed.
@@ -43,6 +47,8 @@
 	// Learned is set now and then for a node whose server is of the same service.
 	Learned slots.Summary `msgpack:"k,omitempty"`
 	News    *news         `msgpack:"w,omitempty"`
+	// Version is the configuration that the node has.
+	Version uint64 `msgpack:"v,omitempty"`
 }
 
 func encode(v any) ([]byte, error) {
@@ -67,12 +73,12 @@
 }
 
 // encodeCall writes what is left of the times, because clocks differ.
-func encodeCall(r call.Request, now time.Time) ([]byte, error) {
+func encodeCall(r call.Request, version uint64, now time.Time) ([]byte, error) {
 	r.Timeout = r.Deadline.Sub(now)
 	if !r.Objective.IsZero() {
 		if r.Aim = r.Objective.Sub(now); r.Aim == 0 {
 			r.Aim = -1
 		}
 	}
-	return encode(message{Call: &r})
+	return encode(message{Call: &r, Version: version})
 }
--- a/internal/mesh/news.go
+++ b/internal/mesh/news.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,6 +47,8 @@
 	published  uint64
 	publishing bool
 	telling    bool
+	// fetching is set while the configuration of another node is fetched.
+	fetching atomic.Bool
 }
 
 // update changes what the node says of itself.
@@ -213,9 +216,18 @@
 		a.Log.WithField("node", e.Node).WithField("server", e.Server).WithField("state", string(e.State)).
 			WithField("stopping", e.Stopping).WithField("change", e.Change).Info("node told of itself")
 	}
-	if n.Version > a.follower.version() {
-		go a.fetch(ctx, n.Entry)
+	a.compare(ctx, n.Version, n.Entry)
+}
+
+// compare fetches the configuration of a node that has a newer one.
+func (a *announcer) compare(ctx context.Context, version uint64, from roster.Entry) {
+	if version <= a.follower.version() || !a.fetching.CompareAndSwap(false, true) {
+		return
 	}
+	go func() {
+		defer a.fetching.Store(false)
+		a.fetch(ctx, from)
+	}()
 }
 
 // fetch takes a newer configuration from another node.
@@ -233,15 +245,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 	defer cancel()
-	answer, err := a.peers.Call(ctx, from.Addr, peer.Request{Head: head, Impatient: true})
+	raw, err := a.fetchRaw(ctx, from, peer.Request{Head: head, Impatient: true})
 	if err != nil {
 		return err
 	}
-	defer answer.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxConfiguration))
-	if err != nil {
-		return eris.Wrap(err, "read the configuration of another node")
-	}
 	document, err := a.Registry.Decode(raw)
 	if err != nil {
 		return err
@@ -250,6 +257,28 @@
 	return nil
 }
 
+// fetchRaw sends a request whose answer is a configuration.
+func (a *announcer) fetchRaw(ctx context.Context, from roster.Entry, r peer.Request) ([]byte, error) {
+	answer, err := a.peers.Call(ctx, from.Addr, r)
+	if err != nil {
+		if ctx.Err() == nil {
+			a.directory.unreachable(from.Node, err, time.Now())
+		}
+		return nil, err
+	}
+	defer answer.Body.Close()
+	a.directory.reached(from.Node)
+	var reply response
+	if err := msgpack.Unmarshal(answer.Head, &reply); err != nil {
+		return nil, eris.Wrap(err, "reply of another node")
+	}
+	if reply.Fault != nil {
+		return nil, reply.Fault
+	}
+	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxConfiguration))
+	return raw, eris.Wrap(err, "read the configuration of another node")
+}
+
 // publish writes the newest entry to the registry, and again until it is there.
 func (a *announcer) publish(ctx context.Context) {
 	a.mu.Lock()
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -48,7 +48,7 @@
 	joinRetry = 300 * time.Millisecond
 	// findPatience is how long a starting node waits for its server's name before it
 	// tells of itself without one.
-	findPatience = 400 * time.Millisecond
+	findPatience = time.Second
 	// keepInterval is how often the limit on concurrency is compared with the one
 	// in the registry, and limitDrift the difference that is written.
 	keepInterval = 5 * time.Second
@@ -99,8 +99,10 @@
 	n.directory.Options = o
 	n.far.Options, n.far.changed = o, n.serverChanged
 	n.far.pool.Names, n.far.pool.Observe = o.Names, n.far.observe
-	n.entry = entry{Options: o, directory: &n.directory, far: &n.far, peers: &n.peers}
+	n.entry = entry{Options: o, directory: &n.directory, far: &n.far, peers: &n.peers, version: n.follower.version, seen: n.seenVersion}
 	n.follower.Options, n.follower.applied, n.follower.outage = o, n.applied, n.askPeer
+	n.follower.joined = make(chan struct{})
+	n.follower.relays, n.follower.ask = n.relays, n.announcer.follow
 	n.announcer.Options, n.announcer.directory, n.announcer.follower, n.announcer.peers = o, &n.directory, &n.follower, &n.peers
 	n.announcer.own = roster.Entry{
 		Node: o.Node, Start: time.Now().UnixMilli(), Domain: o.Domain, Region: o.Region, Service: o.Service,
@@ -171,15 +173,21 @@
 		return n.reply(response{News: n.announcer.tellBack(*m.News)}, nil)
 	case m.Fetch:
 		return n.reply(response{}, n.follower.current())
+	case m.Follow != nil:
+		raw, err := n.follower.relay(ctx, n.stopping.Load, *m.Follow)
+		return n.reply(response{Fault: err}, raw)
 	case m.Call == nil:
 		return n.reply(response{Fault: fault.New(fault.KindBadRequest, "message of a peer asks for nothing")}, nil)
 	}
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	if from, ok := n.directory.entry(string(in.From)); ok {
+		n.seenVersion(m.Version, from)
+	}
 	r := *m.Call
 	r.Body = in.Body
 	out := n.far.serve(ctx, r)
-	head := response{Fault: out.err, Ran: out.ran, Load: &out.load}
+	head := response{Fault: out.err, Ran: out.ran, Load: &out.load, Version: n.follower.version()}
 	if n.directory.tellLimit(string(in.From), time.Now()) {
 		head.Learned = n.far.learned()
 	}
@@ -227,6 +235,7 @@
 		sleep(n.running, spread(joinRetry))
 	}
 	n.joined.Store(true)
+	close(n.follower.joined)
 	n.Log.WithField("nodes", n.directory.nodes()).Info("node joined")
 	n.announcer.tellAll(n.running)
 }
@@ -244,7 +253,23 @@
 	if s, ok := t.Service(n.Service); ok {
 		n.far.setHealth(s.Health)
 	}
-	go n.spread()
+	if len(n.relays()) == 0 {
+		go n.spread()
+	}
+}
+
+// seenVersion takes the configuration of another node if it is newer.
+func (n *Node) seenVersion(version uint64, from roster.Entry) {
+	n.announcer.compare(n.running, version, from)
+}
+
+// relays returns the nodes from which this one takes the configuration; nil means
+// from the registry.
+func (n *Node) relays() []roster.Entry {
+	if !n.joined.Load() || n.follower.relaying() {
+		return nil
+	}
+	return n.directory.relays(time.Now())
 }
 
 // spread tells some other nodes of the new version, in case the registry's
@@ -334,6 +359,7 @@
 	defer cancel()
 	n.Log.WithField("node", n.Node()).Info("node stopping")
 	n.stopping.Store(true)
+	n.follower.stop()
 	n.announcer.update(n.running, func(e *roster.Entry) { e.Stopping = true })
 	left := n.callers.Drain(ctx, stopNotice)
 	for n.inFlight.Load() > 0 && ctx.Err() == nil {
--- /dev/null
+++ b/internal/mesh/relay_test.go
@@ -0,0 +1,153 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/route"
+)
+
+// fakeRegistry has a configuration whose next version comes when it is told.
+type fakeRegistry struct {
+	Registry
+	next  chan Versioned
+	err   error
+	calls atomic.Int32
+}
+
+func (r *fakeRegistry) Configuration(context.Context) (Versioned, error) {
+	r.calls.Add(1)
+	return document(1), r.err
+}
+
+func (r *fakeRegistry) Changed(ctx context.Context, _ uint64, wait time.Duration) (Versioned, error) {
+	r.calls.Add(1)
+	if r.err != nil {
+		return Versioned{}, r.err
+	}
+	select {
+	case v := <-r.next:
+		return v, nil
+	case <-time.After(wait):
+		return Versioned{}, nil
+	case <-ctx.Done():
+		return Versioned{}, ctx.Err()
+	}
+}
+
+func document(version uint64) Versioned {
+	return Versioned{Document: &route.Document{Version: version}, Raw: []byte{byte(version)}, Position: version}
+}
+
+// after returns the second version after a while.
+func after(ctx context.Context, d time.Duration) (Versioned, error) {
+	select {
+	case <-time.After(d):
+		return document(2), nil
+	case <-ctx.Done():
+		return Versioned{}, ctx.Err()
+	}
+}
+
+func newFollower(r Registry) *follower {
+	joined := make(chan struct{})
+	close(joined)
+	return &follower{
+		Options: &Options{Node: "n1", Registry: r, Log: &log.Logger{Handler: discard.New()}},
+		applied: func(*route.Table) {}, outage: func(context.Context) {},
+		relays: func() []roster.Entry { return nil }, joined: joined,
+	}
+}
+
+// Guards against a node that leaves those who follow it waiting: while it has
+// lost the registry, while it stops, and when it has a version.
+func TestRelayAnswersAsSoonAsItCanTell(t *testing.T) {
+	for name, c := range map[string]struct {
+		change  func(f *follower, stopping *atomic.Bool)
+		version byte
+	}{
+		"new version":   {func(f *follower, _ *atomic.Bool) { f.apply(document(2), "test") }, 2},
+		"registry lost": {func(f *follower, _ *atomic.Bool) { f.setDown(true) }, 0},
+		"stopping":      {func(f *follower, stopping *atomic.Bool) { stopping.Store(true); f.stop() }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFollower(nil)
+				f.apply(document(1), "test")
+				var stopping, done atomic.Bool
+				var raw []byte
+				var err *fault.Error
+				go func() {
+					raw, err = f.relay(t.Context(), stopping.Load, 1)
+					done.Store(true)
+				}()
+				time.Sleep(5 * time.Second)
+				assert.Assert(t, !done.Load())
+				assert.Assert(t, f.relaying())
+				c.change(f, &stopping)
+				synctest.Wait()
+				assert.Assert(t, done.Load())
+				assert.Assert(t, !f.relaying())
+				if c.version == 0 {
+					assert.Equal(t, err.Kind, fault.KindStopped)
+					return
+				}
+				assert.Assert(t, err == nil)
+				assert.DeepEqual(t, raw, []byte{c.version})
+			})
+		})
+	}
+}
+
+// Guards against a configuration that does not reach a node whose relays fail one
+// after the other, and against calls to the registry while a relay answers.
+func TestFollowerOfNodes(t *testing.T) {
+	relay := roster.Entry{Node: "n2"}
+	for name, c := range map[string]struct {
+		relays []roster.Entry
+		ask    func(ctx context.Context) (Versioned, error)
+		calls  int32
+	}{
+		"a relay answers": {[]roster.Entry{relay}, func(ctx context.Context) (Versioned, error) {
+			return after(ctx, 300*time.Millisecond)
+		}, 1},
+		"the second relay answers": {[]roster.Entry{{Node: "n3"}, relay}, func(ctx context.Context) (Versioned, error) {
+			return after(ctx, 500*time.Millisecond)
+		}, 1},
+		"no relay is left": {nil, func(context.Context) (Versioned, error) { return Versioned{}, errors.New("unused") }, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &fakeRegistry{next: make(chan Versioned, 1)}
+				f := newFollower(r)
+				f.relays = func() []roster.Entry { return c.relays }
+				f.ask = func(ctx context.Context, to roster.Entry) (Versioned, error) {
+					if to.Node == "n3" {
+						return Versioned{}, errors.New("gone")
+					}
+					return c.ask(ctx)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.run(ctx)
+				time.Sleep(200 * time.Millisecond)
+				assert.Equal(t, f.version(), uint64(1))
+				r.next <- document(2)
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, f.version(), uint64(2))
+				assert.Assert(t, r.calls.Load() <= c.calls, "%d calls", r.calls.Load())
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
