Ask nodes without a server less and less

Change: a refusal for want of a server keeps the node out of the choice for 0.5 to 2 s; news of the node end that at once.

--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -17,6 +17,11 @@
 	// and failMemory how many requests weigh in it.
 	failShare  = 0.4
 	failMemory = 10
+	// absentFirst and absentMost bound how long a node without a server that takes
+	// requests is passed over; the time doubles as long as it has none. A server that
+	// comes back is told of by its node.
+	absentFirst = 500 * time.Millisecond
+	absentMost  = 2 * time.Second
 	// ailingTime is how long a server whose answers fail is avoided before it is
 	// tried again.
 	ailingTime = time.Second
@@ -40,8 +45,11 @@
 	// after seen.
 	open, since int
 	reach       reach.Peer
-	// ailing is until when the server is avoided because its answers fail.
-	ailing time.Time
+	// avoid is until when the server gets no requests, because its answers fail or it
+	// takes none.
+	avoid time.Time
+	// absences counts the refusals in a row because there is no server.
+	absences int
 	// failed is the smoothed share of failed requests.
 	failed  float64
 	samples float64
@@ -70,6 +78,8 @@
 		changed = append(changed, e)
 		if !known || old.Start != e.Start || old.Server != e.Server {
 			d.drop(e.Node)
+		} else if l := d.loads[e.Node]; l != nil {
+			l.avoid, l.absences = time.Time{}, 0
 		}
 	}
 	return changed
@@ -91,7 +101,7 @@
 		}
 		s := placement.Server{ID: e.Node, Distance: d.distance(e), ColdUntil: d.roster.WarmUntil(e.Node), Limit: e.Slots}
 		if l := d.loads[e.Node]; l != nil {
-			s.Mine, s.Out, s.Avoid = l.since, l.reach.Out(), l.ailing
+			s.Mine, s.Out, s.Avoid = l.since, l.reach.Out(), l.avoid
 			if !l.seen.IsZero() {
 				s.Seen, s.Running, s.Limit, s.Pace, s.Wait = l.seen, l.load.InFlight, l.load.Limit, l.load.Pace, l.load.Wait
 				s.Ailing = l.load.Ailing
@@ -184,6 +194,15 @@
 	defer d.mu.Unlock()
 	l := d.loadOf(node)
 	l.load, l.seen, l.since = load, now, 0
+	if !load.Draining {
+		l.absences = 0
+		return
+	}
+	if now.Before(l.avoid) {
+		return // it was asked before that was known
+	}
+	l.avoid = now.Add(min(absentFirst<<min(l.absences, 8), absentMost))
+	l.absences++
 }
 
 // unreachable sends a node no more requests until a probe comes back.
@@ -254,7 +273,7 @@
 	}
 	l.failed += (value - l.failed) / l.samples
 	if failed && l.samples >= failMemory/2 && l.failed >= failShare {
-		l.ailing = now.Add(ailingTime)
+		l.avoid = now.Add(ailingTime)
 	}
 }
 
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -124,7 +124,7 @@
 	}
 	now := time.Now()
 	e.directory.ended(node)
-	if out.load.Slots > 0 {
+	if out.load.Slots > 0 || out.load.Draining {
 		e.directory.observe(node, out.load, now)
 	}
 	if out.ran && !out.silent {
