Compare a server's pace with its own floor

Cause: after a loss of power cold servers tell a pace of 2 for 3 s, which counted as a slow spell of 3 s: nothing began.

Change: a spell is slower than twice the lowest pace of the last 0.4 to 0.8 s; durations are learned and estimated relative to that floor.

--- a/internal/mesh/far.go
+++ b/internal/mesh/far.go
@@ -102,7 +102,7 @@
 			return nil, err
 		}
 		run, verdict := f.gate.Enter(ask, now)
-		wait := f.gate.Estimate(r.Priority, now)
+		wait := f.gate.Estimate(r.Priority)
 		work := f.gate.Work(ask.Kind)
 		f.mu.Unlock()
 		switch verdict {
@@ -140,7 +140,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return nil, overloaded(f.gate.Estimate(ask.Priority, time.Now()))
+	return nil, overloaded(f.gate.Estimate(ask.Priority))
 }
 
 func overloaded(wait time.Duration) *fault.Error {
--- a/pkg/slots/gate.go
+++ b/pkg/slots/gate.go
@@ -77,8 +77,10 @@
 	Ask
 	entered time.Time
 	started time.Time
-	// slow is set when the run began in a slow spell.
-	slow bool
+	// slow is set when the run began in a slow spell, and floor is the pace without
+	// spells at that time.
+	slow  bool
+	floor float64
 	// level is the number of requests that ran when this one began, itself included.
 	level   int
 	waiting bool
@@ -127,17 +129,18 @@
 // Waiting returns the number of requests in line.
 func (g *Gate) Waiting() int { return len(g.line) }
 
-// Work returns the usual duration of a kind of request.
+// Work returns the usual duration of a kind of request, at the pace without
+// spells.
 func (g *Gate) Work(kind string) time.Duration {
 	if m := g.usual[kind]; m != nil && m.samples >= 3 {
-		return time.Duration(m.value)
+		return time.Duration(m.value * g.Pace.Floor())
 	}
 	return g.typical()
 }
 
 func (g *Gate) typical() time.Duration {
 	if g.all.samples >= 3 {
-		return time.Duration(g.all.value)
+		return time.Duration(g.all.value * g.Pace.Floor())
 	}
 	return defaultWork
 }
@@ -163,7 +166,7 @@
 		return run, Start
 	case !ask.Last:
 		return nil, HandBack
-	case late || now.Add(g.Estimate(ask.Priority, now)+work).After(ask.Objective):
+	case late || now.Add(g.Estimate(ask.Priority)+work).After(ask.Objective):
 		return nil, TurnAway
 	case len(g.line) >= lineFactor*g.Limit.Current() && !g.evict(ask.Priority):
 		return nil, TurnAway
@@ -183,7 +186,7 @@
 	}
 	// A slow run takes its slot for several others. It begins where slots are idle
 	// and it still ends in time, or where waiting for the end of the spell would not.
-	slowed := time.Duration(float64(work) * g.Pace.Factor(now))
+	slowed := time.Duration(float64(work) * g.Pace.Factor(now) / g.Pace.Floor())
 	idle := 2*g.running < g.Limit.Current()
 	return idle && !now.Add(slowed).After(ask.Objective) || now.Add(spellTime+work).After(ask.Objective)
 }
@@ -193,7 +196,7 @@
 }
 
 // Estimate returns how long a request of a priority would wait for a slot.
-func (g *Gate) Estimate(priority int, now time.Time) time.Duration {
+func (g *Gate) Estimate(priority int) time.Duration {
 	limit := g.Limit.Current()
 	if limit == 0 {
 		return time.Second
@@ -208,7 +211,7 @@
 	if over <= 0 {
 		return 0
 	}
-	each := float64(g.typical()) * g.Pace.Factor(now) / float64(limit)
+	each := float64(g.typical()) / float64(limit)
 	return time.Duration(float64(over) * each)
 }
 
@@ -238,7 +241,7 @@
 func (g *Gate) start(run *Run, now time.Time) {
 	g.running++
 	run.waiting = false
-	run.started, run.slow, run.level = now, g.Pace.Slow(now), g.running
+	run.started, run.slow, run.floor, run.level = now, g.Pace.Slow(now), g.Pace.Floor(), g.running
 }
 
 // Leave ends a run or a wait. Worked tells whether the duration says something
@@ -272,7 +275,7 @@
 	if run.slow {
 		return // it tells of the neighbours, not of the server
 	}
-	took := float64(now.Sub(run.started))
+	took := float64(now.Sub(run.started)) / run.floor
 	if g.usual == nil {
 		g.usual = make(map[string]*mean)
 	}
@@ -324,7 +327,7 @@
 	if g.Pace.Slow(now) && !now.Add(spellTime+g.Work(run.Kind)).After(run.Objective) {
 		return false
 	}
-	run.started, run.slow = now, g.Pace.Slow(now)
+	run.started, run.slow, run.floor = now, g.Pace.Slow(now), g.Pace.Floor()
 	return true
 }
 
@@ -352,6 +355,6 @@
 func (g *Gate) Load(now time.Time) Load {
 	return Load{
 		Running: g.running, Waiting: len(g.line), Limit: g.Limit.Current(), Slots: g.Limit.Slots(),
-		Pace: g.Pace.Factor(now), Wait: g.Estimate(1<<30, now),
+		Pace: g.Pace.Factor(now), Wait: g.Estimate(1 << 30),
 	}
 }
--- a/pkg/slots/gate_test.go
+++ b/pkg/slots/gate_test.go
@@ -58,6 +58,7 @@
 				_, v := g.Enter(ask(1, time.Second, true, &woken, 0), epoch)
 				assert.Equal(t, v, Start)
 			}
+			g.Pace.Observe(1, epoch)
 			g.Pace.Observe(c.pace, epoch)
 			g.SetClosed(c.closed)
 			_, v := g.Enter(ask(1, c.objective, c.last, &woken, 1), epoch)
@@ -130,6 +131,7 @@
 	var woken []int
 	for i := range 20 {
 		now := epoch.Add(time.Duration(i) * time.Second)
+		g.Pace.Observe(1, now)
 		g.Pace.Observe([]float64{1, 5}[i%2], now)
 		run, v := g.Enter(Ask{Kind: "k", Objective: now.Add(time.Hour), Last: true, Wake: ask(1, 0, true, &woken, 1).Wake}, now)
 		assert.Equal(t, v, Start)
@@ -166,12 +168,38 @@
 	}
 }
 
+// Guards against a server that is slow after its start and gets no work until it
+// has warmed up, and against durations of that time that are taken for usual ones.
+func TestColdServersWork(t *testing.T) {
+	g := gate(4)
+	var woken []int
+	now := epoch
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		g.Pace.Observe(2, now)
+		a := ask(1, 0, false, &woken, 1)
+		a.Objective = now.Add(time.Hour)
+		run, v := g.Enter(a, now)
+		assert.Equal(t, v, Start)
+		g.Leave(run, true, now.Add(120*time.Millisecond))
+	}
+	assert.Equal(t, g.Work("k"), 120*time.Millisecond)
+	g.Pace.Observe(10, now)
+	assert.Assert(t, g.Pace.Slow(now), "a spell of a cold server is not seen")
+	for range 40 {
+		now = now.Add(50 * time.Millisecond)
+		g.Pace.Observe(1, now)
+	}
+	assert.Equal(t, g.Work("k"), 60*time.Millisecond)
+}
+
 // Guards against work that begins in a slow spell, where it takes five times as
 // long, although the spell will be over in time; and against a wait that turns a
 // request away which could have been served late.
 func TestSlowSpellsAreWaitedFor(t *testing.T) {
 	g := gate(4)
 	var woken []int
+	g.Pace.Observe(1, epoch)
 	g.Pace.Observe(5, epoch)
 	_, v := g.Enter(ask(1, 240*time.Millisecond, true, &woken, 1), epoch)
 	assert.Equal(t, v, Wait)
--- a/pkg/slots/pace.go
+++ b/pkg/slots/pace.go
@@ -11,6 +11,9 @@
 type Pace struct {
 	factor float64
 	seen   time.Time
+	// lowest and before are the lowest figures of this window and the one before it.
+	lowest, before float64
+	window         time.Time
 }
 
 const (
@@ -20,17 +23,37 @@
 	// startFresh is how old a pace may be for a request that begins: within 8 ms one
 	// spell in forty begins.
 	startFresh = 8 * time.Millisecond
-	// slowPace separates a slow spell from ordinary variation.
-	slowPace = 2.0
+	// slowPace separates a slow spell from ordinary variation; it is relative to the
+	// lowest pace of the last floorTime to twice that.
+	slowPace  = 2.0
+	floorTime = 400 * time.Millisecond
 	// spellTime is how long a spell lasts.
 	spellTime = 150 * time.Millisecond
 )
 
 // Observe records the pace that the server has just told.
 func (p *Pace) Observe(factor float64, now time.Time) {
-	if factor > 0 {
-		p.factor, p.seen = factor, now
+	if factor <= 0 {
+		return
 	}
+	p.factor, p.seen = factor, now
+	switch age := now.Sub(p.window); {
+	case age >= 2*floorTime:
+		p.lowest, p.before, p.window = factor, factor, now
+	case age >= floorTime:
+		p.lowest, p.before, p.window = factor, p.lowest, now
+	default:
+		p.lowest = min(p.lowest, factor)
+	}
+}
+
+// Floor returns the pace without spells: 1, or more while the server is slow for
+// longer, as after its start.
+func (p *Pace) Floor() float64 {
+	if p.factor == 0 {
+		return 1
+	}
+	return max(min(p.lowest, p.before), 1)
 }
 
 // Factor returns the pace, or 1 when the last figure is too old.
@@ -42,7 +65,7 @@
 }
 
 // Slow reports whether the server is in a slow spell.
-func (p *Pace) Slow(now time.Time) bool { return p.Factor(now) >= slowPace }
+func (p *Pace) Slow(now time.Time) bool { return p.Factor(now) >= slowPace*p.Floor() }
 
 // Unsure reports whether the server tells its pace and the last figure is too old
 // for a request that begins.
