Leave slots to work that can be on time while it is turned away

Cause: in overload, work beyond its objective took up to three quarters of the slots, while work that is worth ten times as much found none.

Change: for 300 ms after such work found no slot, late work has a quarter.

--- a/pkg/slots/gate.go
+++ b/pkg/slots/gate.go
@@ -29,6 +29,8 @@
 	all     mean
 	running int
 	line    []*Run
+	// pressed is when a request that could be on time last found no slot.
+	pressed time.Time
 	// closed is set while the server takes no new work.
 	closed bool
 }
@@ -107,9 +109,13 @@
 	// lineFactor bounds the line in multiples of the limit: more could not start
 	// before the objective of a request that takes a third of it.
 	lineFactor = 3
-	// lateShare is the share of slots that work beyond its objective may use, so
-	// that it never delays work that can still be on time.
-	lateShare = 0.75
+	// lateShare is the share of slots that work beyond its objective may use, and
+	// pressedShare the same while work that can still be on time is turned away, which
+	// is worth ten times as much.
+	lateShare    = 0.75
+	pressedShare = 0.25
+	// pressedTime is how long the server counts as pressed after it had no slot.
+	pressedTime = 300 * time.Millisecond
 )
 
 func (m *mean) add(v float64) {
@@ -154,9 +160,12 @@
 	work := g.Work(ask.Kind)
 	late := !ask.Objective.IsZero() && now.Add(work).After(ask.Objective)
 	free := g.running < g.Limit.Current() && !g.hasWaiting(ask.Priority)
-	if late && ask.Last && float64(g.running) >= lateShare*float64(g.Limit.Current()) {
+	if late && ask.Last && !g.lateRoom(now) {
 		free = false
 	}
+	if !late && g.running >= g.Limit.Current() {
+		g.pressed = now
+	}
 	if free && !ask.Looked && g.Pace.Unsure(now) {
 		return nil, Look
 	}
@@ -334,13 +343,22 @@
 // startLate starts a request that is too late for its objective where that takes
 // no slot from others.
 func (g *Gate) startLate(run *Run, now time.Time) bool {
-	if g.closed || float64(g.running) >= lateShare*float64(g.Limit.Current()) {
+	if g.closed || !g.lateRoom(now) {
 		return false
 	}
 	g.start(run, now)
 	return true
 }
 
+// lateRoom reports whether work beyond its objective may have a slot.
+func (g *Gate) lateRoom(now time.Time) bool {
+	share := lateShare
+	if now.Sub(g.pressed) < pressedTime {
+		share = pressedShare
+	}
+	return float64(g.running) < share*float64(g.Limit.Current())
+}
+
 // Expire ends the wait of a request that can no longer be on time. It reports
 // whether the request runs.
 func (g *Gate) Expire(run *Run, now time.Time) bool {
--- a/pkg/slots/gate_test.go
+++ b/pkg/slots/gate_test.go
@@ -168,6 +168,44 @@
 	}
 }
 
+// Guards against late work that fills the slots while work that can still be on
+// time is turned away, and against slots that stay empty when there is none.
+func TestLateWorkYieldsUnderPressure(t *testing.T) {
+	for name, c := range map[string]struct {
+		pressed time.Duration
+		want    int
+	}{
+		"no pressure":       {-1, 6},
+		"pressure":          {0, 2},
+		"pressure has gone": {pressedTime, 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gate(8)
+			var woken []int
+			if c.pressed >= 0 {
+				runs := make([]*Run, 0, 8)
+				for range 8 {
+					run, _ := g.Enter(ask(1, time.Second, false, &woken, 1), epoch)
+					runs = append(runs, run)
+				}
+				_, v := g.Enter(ask(1, time.Second, false, &woken, 1), epoch)
+				assert.Equal(t, v, HandBack)
+				for _, run := range runs {
+					g.Leave(run, false, epoch)
+				}
+			}
+			now := epoch.Add(max(c.pressed, 0))
+			started := 0
+			for range 10 {
+				if _, v := g.Enter(ask(1, -time.Second, true, &woken, 1), now); v == Start {
+					started++
+				}
+			}
+			assert.Equal(t, started, c.want)
+		})
+	}
+}
+
 // Guards against a server that is slow after its start and gets no work until it
 // has warmed up, and against durations of that time that are taken for usual ones.
 func TestColdServersWork(t *testing.T) {
