Let requests that a server shed use half of the bound on second sends

A shed request calls nobody.

Change: retry.Window takes a share with each send; sheds have 0.5, runs 0.25.

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -152,7 +152,7 @@
 	case d.last.Kind == fault.KindOverloaded:
 		return !d.roomElsewhere(time.Now())
 	case d.last.Kind == fault.KindShed:
-		return d.used() >= d.attempts || !d.again(d.request.Service, time.Now())
+		return d.used() >= d.attempts || !d.again(d.request.Service, shedShare, time.Now())
 	case d.last.Outcome == fault.Refused:
 		return false // it has reached no server
 	case d.silent > 0 && d.reached == 0:
@@ -181,7 +181,7 @@
 func (d *dispatch) mayRepeat(ctx context.Context) bool {
 	now := time.Now()
 	return d.request.Idempotent && ctx.Err() == nil && d.used() < d.attempts &&
-		now.Add(d.work()).Before(d.request.Deadline) && d.again(d.request.Service, now)
+		now.Add(d.work()).Before(d.request.Deadline) && d.again(d.request.Service, rerunShare, now)
 }
 
 // keep holds a failed answer of a server for the case that nothing better comes.
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -29,10 +29,14 @@
 	// minRetryAfter is the shortest time after which a refused caller may come
 	// back; less would return before anything has changed.
 	minRetryAfter = 50 * time.Millisecond
-	// budgetShare is the part of the platform's bound on second sends that is
-	// used: the calls that a second run makes count again at the services called,
-	// which has to hold for two calls a run with as much of their own.
-	budgetShare = 0.25
+	// rerunShare is the part of the platform's bound on second sends up to which a
+	// request that may have run is sent again: the calls that a second run makes count
+	// again at the services called, which has to hold for two calls a run with as much
+	// of their own.
+	rerunShare = 0.25
+	// shedShare is the same for a request that its server turned away. No call comes
+	// of that, and two calls a run leave half of the bound to the service called.
+	shedShare = 0.5
 	// usualAnswer is the assumed size of an answer in bytes.
 	usualAnswer = 2 << 10
 	// reserveBytes is the size of a body from which a slot is reserved before it is
@@ -97,10 +101,10 @@
 	}
 	w := e.budgets[service]
 	if w == nil {
-		w = &retry.Window{Span: e.Bounds.RetrySpan, Ratio: e.Bounds.RetryRatio * budgetShare}
+		w = &retry.Window{Span: e.Bounds.RetrySpan, Ratio: e.Bounds.RetryRatio}
 		e.budgets[service] = w
 	}
-	w.Fixed = e.Bounds.RetryFixed * budgetShare / float64(max(e.directory.nodes(), 1))
+	w.Fixed = e.Bounds.RetryFixed / float64(max(e.directory.nodes(), 1))
 	return w
 }
 
@@ -110,10 +114,10 @@
 	e.budget(service).Request(now)
 }
 
-func (e *entry) again(service string, now time.Time) bool {
+func (e *entry) again(service string, share float64, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.budget(service).Take(now)
+	return e.budget(service).Take(now, share)
 }
 
 // send asks the node beside a server to run the request.
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -34,15 +34,16 @@
 	w.cells[w.head].requests++
 }
 
-// Take reports whether a request may be sent once more, and counts it.
-func (w *Window) Take(now time.Time) bool {
+// Take reports whether a request may be sent once more within a share of the
+// bound, and counts it. Sends of all shares count together.
+func (w *Window) Take(now time.Time, share float64) bool {
 	w.advance(now)
 	var requests, extra float64
 	for _, c := range w.cells {
 		requests += c.requests
 		extra += c.extra
 	}
-	if extra+1 > w.Ratio*requests+w.Fixed {
+	if extra+1 > share*(w.Ratio*requests+w.Fixed) {
 		return false
 	}
 	w.cells[w.head].extra++
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -25,7 +25,7 @@
 			extra := rapid.Bool().Draw(t, "extra")
 			if !extra {
 				w.Request(now)
-			} else if !w.Take(now) {
+			} else if !w.Take(now, 1) {
 				continue
 			}
 			events = append(events, event{now, extra})
@@ -53,5 +53,21 @@
 // Guards against a zero value that allows everything.
 func TestZeroWindowAllowsNothing(t *testing.T) {
 	var w Window
-	assert.Assert(t, !w.Take(time.Unix(1, 0)))
+	assert.Assert(t, !w.Take(time.Unix(1, 0), 1))
+}
+
+// Guards against sends of a small share that use up more of the bound because
+// those of a larger share do not count.
+func TestSharesCountTogether(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := Window{Span: 10 * time.Second, Ratio: 0.2}
+	for range 100 {
+		w.Request(now)
+	}
+	taken := 0
+	for w.Take(now, 0.5) {
+		taken++
+	}
+	assert.Equal(t, taken, 10)
+	assert.Assert(t, !w.Take(now, 0.25))
 }
