--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -82,7 +83,7 @@
 	if err := n.callers.Listen(n.Caller); err != nil {
 		return err
 	}
-	n.announcer.own.Addr = n.serving.Addr()
+	n.announcer.own.Addr = cmp.Or(n.Advertised, n.serving.Addr())
 	go n.follower.run(n.running)
 	go n.join()
 	go n.tickLoop()
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -60,6 +60,9 @@
 	Service, Server string
 	// Caller and Peer are the addresses to listen on (IP:port).
 	Caller, Peer string
+	// Advertised is the address at which other nodes reach Peer; empty where that is
+	// Peer itself.
+	Advertised string
 	// Dialect is how callers name what they want.
 	Dialect caller.Dialect
 	// Names are the headers of backend servers.
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -23,9 +23,11 @@
 	// Silent keeps connections open but forwards nothing on those that are
 	// open now; new connections work. Packets from known peers are dropped.
 	Silent
+	// OneWay keeps connections open but forwards nothing towards the target.
+	OneWay
 )
 
-var modeNames = map[string]Mode{"pass": Pass, "cut": Cut, "silent": Silent}
+var modeNames = map[string]Mode{"pass": Pass, "cut": Cut, "silent": Silent, "one-way": OneWay}
 
 // Relay forwards to one target. Set the exported fields before Start.
 type Relay struct {
@@ -77,7 +79,7 @@
 			p.close()
 		case Silent:
 			p.silent.Store(true)
-		case Pass:
+		case Pass, OneWay:
 		}
 	}
 	for _, f := range r.flows {
--- a/internal/standin/relay/tcp.go
+++ b/internal/standin/relay/tcp.go
@@ -39,12 +39,12 @@
 		r.mu.Lock()
 		r.pipes[p] = struct{}{}
 		r.mu.Unlock()
-		go r.copy(p, near, far)
-		go r.copy(p, far, near)
+		go r.copy(p, near, far, true)
+		go r.copy(p, far, near, false)
 	}
 }
 
-func (r *Relay) copy(p *pipe, from, to net.Conn) {
+func (r *Relay) copy(p *pipe, from, to net.Conn, forward bool) {
 	defer func() {
 		r.mu.Lock()
 		delete(r.pipes, p)
@@ -60,7 +60,7 @@
 			if r.Delay > 0 {
 				time.Sleep(r.Delay)
 			}
-			if p.silent.Load() {
+			if p.silent.Load() || forward && r.current() == OneWay {
 				r.dropped.Add(1)
 			} else if _, err := to.Write(buf[:n]); err != nil {
 				return
