Tell only nodes that cannot find a starting one in the list

Cause: when all nodes start, each told every other of itself, though of two nodes the one that writes its entry later is found by the other one in the list; and each read the list twice, also when nothing can be there from before.

Change: entries come with their position; a node whose first entry stands after that of the starting node is not told. On the first start of the whole system the list is read once. TestNodesThatFindThisOneAreNotTold has the cases.

--- a/internal/mesh/news.go
+++ b/internal/mesh/news.go
@@ -43,8 +43,10 @@
 	own roster.Entry
 	// owed counts the tries for peers that do not know the newest entry.
 	owed map[string]int
-	// published is the change that the registry has.
+	// published is the change that the registry has, and first the position of the
+	// first entry that was written.
 	published  uint64
+	first      uint64
 	publishing bool
 	telling    bool
 	// fetching is set while the configuration of another node is fetched.
@@ -59,7 +61,7 @@
 	own := a.own
 	a.mu.Unlock()
 	a.directory.merge([]roster.Entry{own}, time.Now())
-	a.tellAll(ctx)
+	a.tellAll(ctx, nil)
 	a.publish(ctx)
 }
 
@@ -78,19 +80,36 @@
 	return a.own
 }
 
-// tellAll sends the newest entry to every other node.
-func (a *announcer) tellAll(ctx context.Context) {
+// tellAll sends the newest entry to every other node, but for those that know it.
+func (a *announcer) tellAll(ctx context.Context, know map[string]bool) {
 	a.mu.Lock()
 	if a.owed == nil {
 		a.owed = make(map[string]int)
 	}
 	for _, e := range a.directory.others() {
-		a.owed[e.Node] = newsTries
+		if !know[e.Node] {
+			a.owed[e.Node] = newsTries
+		}
 	}
 	a.mu.Unlock()
 	a.tellOwed(ctx)
 }
 
+// aware returns the nodes that find this one in the list of nodes by themselves:
+// their first entry was written after that of this node, and each reads the list
+// after that. A node that has written another entry since read it earlier.
+func (a *announcer) aware(members []Member) map[string]bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	aware := make(map[string]bool)
+	for _, m := range members {
+		if a.first > 0 && m.Position > a.first && m.Change == 1 {
+			aware[m.Node] = true
+		}
+	}
+	return aware
+}
+
 // tellOwed tries the peers that do not know the newest entry, and again later
 // while some are left.
 func (a *announcer) tellOwed(ctx context.Context) {
@@ -309,9 +328,12 @@
 	wait := publishRetry
 	for {
 		own := a.entry()
-		err := a.Registry.Publish(ctx, own)
+		position, err := a.Registry.Publish(ctx, own)
 		a.mu.Lock()
 		if err == nil {
+			if a.published == 0 {
+				a.first = position
+			}
 			a.published = own.Change
 		}
 		if err == nil && a.own.Change == own.Change || ctx.Err() != nil {
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -223,29 +223,42 @@
 	for start := time.Now(); time.Since(start) < findPatience && !n.far.known(); {
 		sleep(n.running, findPatience/10)
 	}
-	earlier, err := n.Registry.Members(n.running)
-	if err != nil {
-		n.Log.WithError(err).Warn("limits found before not read")
-	}
-	n.far.suggest(suggestion(earlier, n.Node(), n.Service))
+	n.recall()
 	n.announcer.update(n.running, func(e *roster.Entry) { n.far.describe(e) })
 	n.announcer.awaitPublished(n.running)
+	var members []Member
 	for n.running.Err() == nil {
-		members, err := n.Registry.Members(n.running)
-		if err == nil {
-			n.directory.merge(members, time.Now())
-			if e, ok := n.directory.entry(n.Node()); ok && e.Start > n.announcer.entry().Start {
-				n.announcer.overtake(n.running, e.Start)
-			}
+		var err error
+		if members, err = n.Registry.Members(n.running); err == nil {
 			break
 		}
 		n.Log.WithError(err).Warn("list of nodes not read")
 		sleep(n.running, spread(joinRetry))
 	}
+	entries := make([]roster.Entry, len(members))
+	for i, m := range members {
+		entries[i] = m.Entry
+	}
+	n.directory.merge(entries, time.Now())
+	if e, ok := n.directory.entry(n.Node()); ok && e.Start > n.announcer.entry().Start {
+		n.announcer.overtake(n.running, e.Start)
+	}
 	n.joined.Store(true)
 	close(n.follower.joined)
 	n.Log.WithField("nodes", n.directory.nodes()).Info("node joined")
-	n.announcer.tellAll(n.running)
+	n.announcer.tellAll(n.running, n.announcer.aware(members))
+}
+
+// recall takes the limit on concurrency that was found before.
+func (n *Node) recall() {
+	if n.Fresh {
+		return
+	}
+	earlier, err := n.Registry.Members(n.running)
+	if err != nil {
+		n.Log.WithError(err).Warn("limits found before not read")
+	}
+	n.far.suggest(suggestion(earlier, n.Node(), n.Service))
 }
 
 // serverChanged is called when other nodes need to know more of the server.
@@ -344,7 +357,7 @@
 
 // suggestion returns the limit that this node found in an earlier life, or else
 // the smallest share of slots that nodes of the service have found.
-func suggestion(members []roster.Entry, node, service string) int {
+func suggestion(members []Member, node, service string) int {
 	least := 0
 	for _, e := range members {
 		if e.Service != service || e.Limit == 0 {
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -19,9 +19,9 @@
 // Registry is where the configuration and the entries of nodes last.
 type Registry interface {
 	// Members returns the entries of all nodes.
-	Members(ctx context.Context) ([]roster.Entry, error)
-	// Publish replaces the entry of this node.
-	Publish(ctx context.Context, e roster.Entry) error
+	Members(ctx context.Context) ([]Member, error)
+	// Publish replaces the entry of this node and returns its position.
+	Publish(ctx context.Context, e roster.Entry) (position uint64, err error)
 	// Withdraw removes the entry of a node unless it has changed.
 	Withdraw(ctx context.Context, e roster.Entry) error
 	// Configuration returns the newest configuration and its raw form.
@@ -33,6 +33,12 @@
 	Decode(raw []byte) (*route.Document, error)
 }
 
+// Member is an entry of the registry. Positions grow with each write of any entry.
+type Member struct {
+	roster.Entry
+	Position uint64
+}
+
 // Versioned is a configuration as it was read.
 type Versioned struct {
 	// Document is nil when there is no valid configuration.
@@ -65,6 +71,9 @@
 	Advertised string
 	// Dialect is how callers name what they want.
 	Dialect caller.Dialect
+	// Fresh is set when the whole system starts for the first time, so that nothing is
+	// in the registry from before.
+	Fresh bool
 	// Names are the headers of backend servers.
 	Names    backend.Names
 	Bounds   Bounds
