Split the files of a node by what they do

Change: joining, fetching, reachability, shared limits, the choice of relays and the line of a gate have files of their own. No behaviour changes.

--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -205,62 +204,6 @@
 	l.absences++
 }
 
-// unreachable sends a node no more requests until a probe comes back.
-func (d *directory) unreachable(node string, cause error, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if _, known := d.roster.Get(node); !known {
-		return
-	}
-	if !d.loadOf(node).reach.Failed(now) {
-		return
-	}
-	if d.out == nil {
-		d.out = make(map[string]struct{})
-	}
-	d.out[node] = struct{}{}
-	d.Log.WithError(cause).WithField("node", node).WithField("out", len(d.out)).Warn("node cannot be reached")
-}
-
-// reached notes that a node has reacted.
-func (d *directory) reached(node string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if l := d.loads[node]; l != nil && l.reach.Answered() {
-		delete(d.out, node)
-		d.Log.WithField("node", node).WithField("out", len(d.out)).Info("node can be reached again")
-	}
-}
-
-// heard notes that a node has sent something.
-func (d *directory) heard(node string, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if l := d.loads[node]; l != nil {
-		l.reach.Hint(now)
-	}
-}
-
-// due returns the nodes to probe now, and those that have been out for so long
-// that they are gone.
-func (d *directory) due(now time.Time) (probe, lost []roster.Entry) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for node := range d.out {
-		e, known := d.roster.Get(node)
-		l := d.loads[node]
-		switch {
-		case !known || l == nil:
-			delete(d.out, node)
-		case l.reach.Lost(now):
-			lost = append(lost, e)
-		case l.reach.Due(now):
-			probe = append(probe, e)
-		}
-	}
-	return probe, lost
-}
-
 // outcome counts whether a server's answers fail, and avoids one that fails often.
 func (d *directory) outcome(node string, failed bool, now time.Time) {
 	d.mu.Lock()
@@ -276,74 +219,3 @@
 		l.avoid = now.Add(ailingTime)
 	}
 }
-
-// learned keeps what a node found out of its server's slots.
-func (d *directory) learned(node string, s slots.Summary) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.loadOf(node).learned = s
-}
-
-// summaries returns what nodes of this node's service found out.
-func (d *directory) summaries() []slots.Summary {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var all []slots.Summary
-	for node, l := range d.loads {
-		if e, ok := d.roster.Get(node); ok && l.learned != nil && e.Service == d.Service && node != d.Node {
-			all = append(all, l.learned)
-		}
-	}
-	return all
-}
-
-// tellLimit reports whether a node should be told what this one found out of its
-// server's slots: from time to time, and only where it is cheap.
-func (d *directory) tellLimit(node string, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e, ok := d.roster.Get(node)
-	if !ok || e.Service != d.Service || d.distance(e) == placement.OtherRegion {
-		return false
-	}
-	l := d.loadOf(node)
-	if now.Sub(l.told) < toldInterval {
-		return false
-	}
-	l.told = now
-	return true
-}
-
-// passOver follows a node no more until a time.
-func (d *directory) passOver(node string, until time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.loadOf(node).noRelay = until
-}
-
-// relays returns the nodes to follow, in an order of this node's own; nil means
-// that this node follows the registry.
-func (d *directory) relays(now time.Time) []roster.Entry {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	all := d.roster.Followers(d.Region, func(e roster.Entry) bool {
-		l := d.loads[e.Node]
-		return l == nil || !l.reach.Out()
-	})
-	region := 0
-	kept := all[:0]
-	for _, e := range all {
-		if e.Node == d.Node {
-			return nil
-		}
-		if l := d.loads[e.Node]; l != nil && now.Before(l.noRelay) {
-			continue
-		}
-		if e.Region == d.Region {
-			region++
-		}
-		kept = append(kept, e)
-	}
-	rand.Shuffle(region, func(i, j int) { kept[i], kept[j] = kept[j], kept[i] })
-	return kept
-}
--- a/internal/mesh/news.go
+++ b/internal/mesh/news.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/internal/peer"
@@ -238,66 +236,6 @@
 	a.compare(ctx, n.Version, n.Entry)
 }
 
-// compare fetches the configuration of a node that has a newer one.
-func (a *announcer) compare(ctx context.Context, version uint64, from roster.Entry) {
-	if version <= a.follower.version() || !a.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer a.fetching.Store(false)
-		a.fetch(ctx, from)
-	}()
-}
-
-// fetch takes a newer configuration from another node.
-func (a *announcer) fetch(ctx context.Context, from roster.Entry) {
-	err := a.fetchFrom(ctx, from)
-	if err != nil {
-		a.Log.WithError(err).WithField("node", from.Node).Warn("configuration of another node not taken")
-	}
-}
-
-func (a *announcer) fetchFrom(ctx context.Context, from roster.Entry) error {
-	head, err := encode(message{Fetch: true})
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
-	defer cancel()
-	raw, err := a.fetchRaw(ctx, from, peer.Request{Head: head, Impatient: true})
-	if err != nil {
-		return err
-	}
-	document, err := a.Registry.Decode(raw)
-	if err != nil {
-		return err
-	}
-	a.follower.apply(Versioned{Document: document, Raw: raw}, "node "+from.Node)
-	return nil
-}
-
-// fetchRaw sends a request whose answer is a configuration.
-func (a *announcer) fetchRaw(ctx context.Context, from roster.Entry, r peer.Request) ([]byte, error) {
-	answer, err := a.peers.Call(ctx, from.Addr, r)
-	if err != nil {
-		if ctx.Err() == nil {
-			a.directory.unreachable(from.Node, err, time.Now())
-		}
-		return nil, err
-	}
-	defer answer.Body.Close()
-	a.directory.reached(from.Node)
-	var reply response
-	if err := msgpack.Unmarshal(answer.Head, &reply); err != nil {
-		return nil, eris.Wrap(err, "reply of another node")
-	}
-	if reply.Fault != nil {
-		return nil, reply.Fault
-	}
-	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxConfiguration))
-	return raw, eris.Wrap(err, "read the configuration of another node")
-}
-
 // publish writes the newest entry to the registry, and again until it is there.
 func (a *announcer) publish(ctx context.Context) {
 	a.mu.Lock()
--- a/pkg/slots/gate.go
+++ b/pkg/slots/gate.go
@@ -200,10 +200,6 @@
 	return idle && !now.Add(slowed).After(ask.Objective) || now.Add(spellTime+work).After(ask.Objective)
 }
 
-func (g *Gate) hasWaiting(priority int) bool {
-	return len(g.line) > 0 && g.line[0].Priority <= priority
-}
-
 // Estimate returns how long a request of a priority would wait for a slot.
 func (g *Gate) Estimate(priority int) time.Duration {
 	limit := g.Limit.Current()
@@ -224,29 +220,6 @@
 	return time.Duration(float64(over) * each)
 }
 
-// insert keeps the line ordered by priority, then by arrival.
-func (g *Gate) insert(run *Run) {
-	i := len(g.line)
-	for i > 0 && g.line[i-1].Priority > run.Priority {
-		i--
-	}
-	g.line = append(g.line, nil)
-	copy(g.line[i+1:], g.line[i:])
-	g.line[i] = run
-}
-
-// evict turns away the last of the line for a more urgent request.
-func (g *Gate) evict(priority int) bool {
-	last := g.line[len(g.line)-1]
-	if last.Priority <= priority {
-		return false
-	}
-	g.line = g.line[:len(g.line)-1]
-	last.waiting = false
-	last.Wake(false)
-	return true
-}
-
 func (g *Gate) start(run *Run, now time.Time) {
 	g.running++
 	run.waiting = false
@@ -270,16 +243,6 @@
 	g.Tick(now)
 }
 
-func (g *Gate) remove(run *Run) {
-	for i, r := range g.line {
-		if r == run {
-			g.line = append(g.line[:i], g.line[i+1:]...)
-			run.waiting = false
-			return
-		}
-	}
-}
-
 func (g *Gate) learn(run *Run, now time.Time) {
 	if run.slow {
 		return // it tells of the neighbours, not of the server
