--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -43,13 +43,19 @@
 func listen(t *testing.T, id string, c *Credentials, s call.Server) *Transport {
 	t.Helper()
 	tr := &Transport{ID: id, Calls: s, MaxBody: 1 << 20, Credentials: c}
+	start(t, tr)
+	return tr
+}
+
+// start lets a transport serve until the test ends; its fields are read from then on.
+func start(t *testing.T, tr *Transport) {
+	t.Helper()
 	assert.NilError(t, tr.Listen("127.0.0.1:0"))
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		_ = tr.Close(ctx)
 	})
-	return tr
 }
 
 func echo(_ context.Context, r call.Request) (*call.Answer, error) {
@@ -97,8 +103,8 @@
 // room that is not given back.
 func TestBodiesShareTheirMemory(t *testing.T) {
 	a := authority(t)
-	near, far := listen(t, "near", credentials(t, a), nil), listen(t, "far", credentials(t, a), nil)
-	far.Bodies = &call.Bodies{Max: 1000}
+	near := listen(t, "near", credentials(t, a), nil)
+	far := &Transport{ID: "far", Credentials: credentials(t, a), MaxBody: 1 << 20, Bodies: &call.Bodies{Max: 1000}}
 	far.Calls = calls(func(ctx context.Context, r call.Request) (*call.Answer, error) {
 		if len(r.Body) == 600 {
 			_, err := exchange(near, far, make([]byte, 500))
@@ -106,6 +112,7 @@
 		}
 		return echo(ctx, r)
 	})
+	start(t, far)
 	_, err := exchange(near, far, make([]byte, 600))
 	assert.Equal(t, fault.As(err).Kind, fault.KindOverloaded)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
