Convict only requests that ran in the crash reported

Two ways led there. Each request in flight at a crash reports it; one that noticed the crash late named what the node had started since, and a suspect running alone there was convicted. And a suspect sent to a server that accepted no connection was reported as running in a crash.

Change: Table.Crash takes the start of the request that failed and ignores a crash that was reported already. A request without a connection is ended before its failure is looked at and reports none. After its wait in begin a suspect checks again that the server may be given work.

--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -133,12 +133,13 @@
 	}
 }
 
-// report tells the other nodes of the service about a crash. All requests that
-// were in flight wait for the one report before their failure is told.
-func (c *crashWatch) report(ctx context.Context, service string) {
+// report tells the other nodes of the service about the crash that ended the
+// request. All requests that were in flight wait for the one report before
+// their failure is told.
+func (c *crashWatch) report(ctx context.Context, service string, start quarantine.Start) {
 	c.mu.Lock()
-	incident := c.table.Crash(c.ID, time.Now())
-	if len(incident.Prints) == 0 {
+	incident, ok := c.table.Crash(c.ID, start, time.Now())
+	if !ok {
 		// Another request that was in flight has reported the crash already.
 		wait := c.reporting
 		c.mu.Unlock()
--- a/internal/daemon/crash_watch_test.go
+++ b/internal/daemon/crash_watch_test.go
@@ -7,10 +7,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
 )
 
 // Guards against a request that crashes one backend server after another while
@@ -85,3 +88,17 @@
 	t.Cleanup(func() { stop() })
 	return stop
 }
+
+// Guards against an innocent request that is convicted because it was sent,
+// as a suspect, to a backend server that no longer accepted connections.
+func TestSuspectAtAServerThatIsGone(t *testing.T) {
+	c := startCluster(t, 1)
+	far := &c.nodes[0].far
+	r := call.Request{ID: "r1", Service: "stock", Method: http.MethodGet, URI: "/stock/item", Deadline: time.Now().Add(time.Minute)}
+	mark := quarantine.Fingerprint(r.Fingerprint())
+	far.crash.table.Merge(quarantine.Incident{ID: 1, Prints: quarantine.Prints{mark, mark + 1}}, time.Now())
+	c.servers[0].Kill()
+	_, err := far.Serve(t.Context(), r)
+	assert.Assert(t, fault.Is(err, fault.KindNoServer), "%v", err)
+	assert.Equal(t, far.crash.table.Check(mark, time.Now()), quarantine.Alone)
+}
--- a/internal/daemon/far.go
+++ b/internal/daemon/far.go
@@ -55,9 +55,22 @@
 		leave(false)
 		return nil, f.refused(r, f.load(), f.ID, err)
 	}
+	// A suspect may have waited in begin while the server crashed.
+	server, err = f.ready(r)
+	if err != nil {
+		f.crash.end(r, start, false)
+		leave(false)
+		return nil, f.refused(r, f.load(), f.ID, err)
+	}
 	answer, err := f.sendWithAllowance(ctx, server.Addr, r)
+	if fault.Is(err, fault.KindNoServer) {
+		// A request that got no connection never ran, so it is no suspect.
+		f.crash.end(r, start, false)
+		leave(false)
+		return nil, f.failed(ctx, server, r, start, err)
+	}
 	if err != nil {
-		err = f.failed(ctx, server, r, err)
+		err = f.failed(ctx, server, r, start, err)
 		f.crash.end(r, start, false)
 		leave(false)
 		return nil, err
@@ -68,7 +81,7 @@
 	answer.Load = f.load()
 	answer.Body = &trackedBody{ReadCloser: answer.Body, ended: func(whole bool, err error) {
 		if err != nil {
-			_ = f.failed(ctx, server, r, err)
+			_ = f.failed(ctx, server, r, start, err)
 		}
 		f.crash.end(r, start, whole)
 		leave(whole)
@@ -109,7 +122,7 @@
 // failed tells a crash of the server from the failure of one request. The
 // callers of all requests that were in flight learn of a crash only after the
 // other nodes have had the chance to.
-func (f *far) failed(ctx context.Context, server announcement, r call.Request, err error) error {
+func (f *far) failed(ctx context.Context, server announcement, r call.Request, start quarantine.Start, err error) error {
 	typed := fault.As(err)
 	switch typed.Kind {
 	case fault.KindServerLost, fault.KindNoServer, fault.KindCutShort:
@@ -122,7 +135,9 @@
 	f.local.crashed(server.Addr)
 	f.Log.WithField("server", server.Addr).WithField("service", r.Service).
 		WithField("id", r.ID).Warn("backend server refuses connections")
-	f.crash.report(context.WithoutCancel(ctx), r.Service)
+	if typed.Kind != fault.KindNoServer {
+		f.crash.report(context.WithoutCancel(ctx), r.Service, start)
+	}
 	return typed
 }
 
--- a/pkg/quarantine/bench_test.go
+++ b/pkg/quarantine/bench_test.go
@@ -64,9 +64,12 @@
 		group.Go(func() {
 			s, _ := node.Begin(p, start)
 			node.Check(p, start)
-			other.Merge(node.Crash("server", start), start)
+			own, _ := node.Crash("server", s, start)
+			other.Merge(own, start)
 			node.End(s, true, start)
-			node.Merge(other.Crash("server", start), start)
+			theirs, _ := other.Begin(p, start)
+			incident, _ := other.Crash("server", theirs, start)
+			node.Merge(incident, start)
 			node.Tick(start.Add(time.Second))
 		})
 	}
--- a/pkg/quarantine/example_test.go
+++ b/pkg/quarantine/example_test.go
@@ -12,12 +12,14 @@
 	now := time.Now()
 	const content = quarantine.Fingerprint(42)
 
-	first.Begin(content, now)
-	second.Merge(first.Crash("stock-1", now), now)
+	start, _ := first.Begin(content, now)
+	incident, _ := first.Crash("stock-1", start, now)
+	second.Merge(incident, now)
 	fmt.Println(second.Check(content, now))
 
-	second.Begin(content, now)
-	first.Merge(second.Crash("stock-2", now), now)
+	start, _ = second.Begin(content, now)
+	incident, _ = second.Crash("stock-2", start, now)
+	first.Merge(incident, now)
 	fmt.Println(first.Check(content, now))
 	// Output:
 	// alone
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -33,6 +33,8 @@
 	at        int // node that runs the killer, or -1
 	harmed    int
 	next      Fingerprint
+	// late are innocents whose failure in a crash is not yet noticed.
+	late []innocent
 }
 
 func (f *fleet) sendKiller(t *rapid.T) {
@@ -48,7 +50,8 @@
 		return
 	}
 	f.harmed++
-	incident := f.nodes[f.at].Crash(fmt.Sprint(f.at), f.now)
+	incident, ok := f.nodes[f.at].Crash(fmt.Sprint(f.at), f.kill, f.now)
+	assert.Assert(t, ok)
 	for _, n := range rapid.Permutation([]int{0, 0, 1, 2, 3}).Draw(t, "delivery") {
 		if n != f.at {
 			f.nodes[n].Merge(incident, f.now)
@@ -57,12 +60,25 @@
 	for _, r := range f.innocents {
 		if r.running && r.node == f.at {
 			r.running, r.crashed = false, f.now
+			f.late = append(f.late, *r)
 		}
 	}
 	f.at = -1
 	assert.Assert(t, f.harmed <= 2, "%d servers harmed", f.harmed)
 }
 
+// reportLate has an innocent notice an earlier crash after the server runs
+// again.
+func (f *fleet) reportLate(t *rapid.T) {
+	if len(f.late) == 0 {
+		return
+	}
+	r := f.late[0]
+	f.late = f.late[1:]
+	_, ok := f.nodes[r.node].Crash(fmt.Sprint(r.node), r.Start, f.now)
+	assert.Assert(t, !ok, "one crash reported twice")
+}
+
 func (f *fleet) arrive(t *rapid.T) {
 	f.next++
 	// A popular request has the same content as others.
@@ -132,7 +148,7 @@
 		f := &fleet{now: start, at: -1}
 		t.Repeat(map[string]func(*rapid.T){
 			"killer": f.sendKiller, "crash": f.crash, "arrive": f.arrive, "arrive again": f.arrive,
-			"resend": f.resend, "finish": f.finish, "pass": f.pass,
+			"resend": f.resend, "finish": f.finish, "pass": f.pass, "late": f.reportLate,
 		})
 	})
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -98,12 +98,16 @@
 	return Release{Print: s.Print}, true
 }
 
-// Crash ends all that is running, because the local server crashed, and
-// returns the incident to send to the other nodes before any failure is
-// reported to a caller.
-func (t *Table) Crash(server string, now time.Time) Incident {
+// Crash ends all that is running, because the local server crashed under the
+// request s, and returns the incident to send to the other nodes before any
+// failure is reported to a caller. ok is false if another request of that crash
+// was first: what runs now was started later and had no part in it.
+func (t *Table) Crash(server string, s Start, now time.Time) (i Incident, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if s.epoch != t.epoch {
+		return Incident{}, false
+	}
 	t.epoch++
 	suspects := 0
 	prints := make([]Fingerprint, 0, len(t.running))
@@ -120,9 +124,9 @@
 		lone = prints[0]
 	}
 	t.running = t.running[:0]
-	i := newIncident(server, t.epoch, prints[:min(len(prints), MaxPrints)], lone, now)
+	i = newIncident(server, t.epoch, prints[:min(len(prints), MaxPrints)], lone, now)
 	t.merge(i, now, true)
-	return i
+	return i, true
 }
 
 // Merge adds an incident of another node. It is false if the incident is known
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -10,9 +10,10 @@
 func run2(t *testing.T, nodes ...*Table) {
 	t.Helper()
 	for n, node := range nodes {
-		_, ok := node.Begin(killer, start)
+		s, ok := node.Begin(killer, start)
+		assert.Assert(t, ok)
+		incident, ok := node.Crash("server", s, start.Add(time.Duration(n)))
 		assert.Assert(t, ok)
-		incident := node.Crash("server", start.Add(time.Duration(n)))
 		for _, other := range nodes {
 			other.Merge(incident, start.Add(time.Duration(n)))
 		}
@@ -58,12 +59,15 @@
 // at two crashes of other cause, such as lost hosts.
 func TestPopularRequestIsNotConvicted(t *testing.T) {
 	var a, b Table
+	var running []Start
 	for _, node := range []*Table{&a, &b} {
-		node.Begin(7, start)
+		s, _ := node.Begin(7, start)
 		node.Begin(8, start)
+		running = append(running, s)
 	}
-	a.Merge(b.Crash("b", start), start)
-	a.Crash("a", start)
+	incident, _ := b.Crash("b", running[1], start)
+	a.Merge(incident, start)
+	a.Crash("a", running[0], start)
 	assert.Equal(t, a.Check(7, start), Alone)
 }
 
@@ -91,13 +95,28 @@
 func TestEndAfterCrashEndsNothing(t *testing.T) {
 	var node Table
 	s, _ := node.Begin(7, start)
-	node.Crash("server", start)
+	node.Crash("server", s, start)
 	node.Begin(7, start)
 	node.End(s, false, start)
 	_, ok := node.Begin(7, start)
 	assert.Assert(t, !ok, "a suspect beside a suspect")
 }
 
+// Guards against an innocent that is convicted because it was started after a
+// crash which another request notices only then.
+func TestLateReportOfACrash(t *testing.T) {
+	var node Table
+	kill, _ := node.Begin(killer, start)
+	late, _ := node.Begin(7, start)
+	_, ok := node.Crash("server", kill, start)
+	assert.Assert(t, ok)
+	_, ok = node.Begin(7, start)
+	assert.Assert(t, ok)
+	_, ok = node.Crash("server", late, start.Add(time.Millisecond))
+	assert.Assert(t, !ok)
+	assert.Equal(t, node.Check(7, start.Add(time.Millisecond)), Alone)
+}
+
 // Guards against memory that grows with the number of incidents, and against
 // a flood that frees a quarantined request.
 func TestMemoryIsBounded(t *testing.T) {
