Quarantine requests that crash servers on the platform

Only the daemon had pkg/quarantine connected.

A request that the server answered within the last minute is no suspect, so popular lookups are not run one at a time after a crash.

--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -106,6 +106,14 @@
 	return r
 }
 
+// Due returns the objective, or the deadline where there is no objective.
+func (r Request) Due() time.Time {
+	if r.Objective.IsZero() {
+		return r.Deadline
+	}
+	return r.Objective
+}
+
 // Keyed reports whether the request takes the at-most-once path.
 func (r Request) Keyed() bool { return r.Key != "" && !r.Idempotent }
 
--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -9,7 +9,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/internal/call"
-	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
@@ -26,8 +25,6 @@
 	spreadTimeout = 500 * time.Millisecond
 	// maxSpread bounds the messages that are under way at once.
 	maxSpread = 32
-	// suspectPause is how often a suspect asks again whether it may run.
-	suspectPause = 10 * time.Millisecond
 	// maxJoinAsked is how many nodes a new node asks for incidents.
 	maxJoinAsked = 3
 )
@@ -104,19 +101,16 @@
 
 // begin starts the request. A suspect waits until no other suspect runs here.
 func (c *crashWatch) begin(ctx context.Context, r call.Request, mark quarantine.Fingerprint) (quarantine.Start, error) {
-	for {
-		start, ok := c.table.Begin(mark, time.Now())
-		if ok {
-			c.count(r.From, 1)
-			return start, nil
-		}
-		if start.Verdict == quarantine.Refuse {
-			return start, c.refusal(r)
-		}
-		if !clock.Sleep(ctx, suspectPause) {
-			return start, fault.New(fault.KindDeadline, "the request may run only without other suspects of a crash, and its deadline came first").
-				WithOutcome(fault.Refused)
-		}
+	start, ok := c.table.Await(ctx, mark)
+	switch {
+	case ok:
+		c.count(r.From, 1)
+		return start, nil
+	case start.Verdict == quarantine.Refuse:
+		return start, c.refusal(r)
+	default:
+		return start, fault.New(fault.KindDeadline, "the request may run only without other suspects of a crash, and its deadline came first").
+			WithOutcome(fault.Refused)
 	}
 }
 
--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -149,6 +149,8 @@
 		return false
 	}
 	switch {
+	case d.last.Kind == fault.KindQuarantined:
+		return true // the other nodes of the service have heard of the crashes too
 	case d.last.Kind == fault.KindOverloaded:
 		return !d.roomElsewhere(time.Now())
 	case d.last.Kind == fault.KindShed:
@@ -210,7 +212,7 @@
 	if d.ran && err.Outcome == fault.Refused {
 		err = fault.New(fault.KindServerLost, "%s", err.Detail)
 	}
-	if !d.ran && err.Outcome == fault.Refused && err.Kind != fault.KindDeadline {
+	if !d.ran && err.Outcome == fault.Refused && err.Kind != fault.KindDeadline && err.Kind != fault.KindQuarantined {
 		err = overloaded(spread(err.Wait)).WithOutcome(fault.Refused)
 		if d.last != nil {
 			err.Detail = d.last.Detail
--- a/internal/mesh/far.go
+++ b/internal/mesh/far.go
@@ -11,6 +11,7 @@
 	"github.com/vanillasail/vanillasail/internal/backend"
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/slots"
 )
@@ -20,7 +21,8 @@
 // said here.
 type far struct {
 	*Options
-	pool backend.Pool
+	pool  backend.Pool
+	crash crashWatch
 
 	mu     sync.Mutex
 	gate   slots.Gate
@@ -61,17 +63,31 @@
 // serve runs the request, lets it wait, or turns it away. A ticket names the slot
 // that was reserved for it.
 func (f *far) serve(ctx context.Context, r call.Request, ticket uint64) outcome {
+	mark := quarantine.Fingerprint(r.Fingerprint())
 	run := f.redeem(ticket)
 	if run != nil {
 		f.awaitPace(ctx, run)
 	} else {
-		var err *fault.Error
-		if run, err = f.enter(ctx, r); err != nil {
+		err := f.crash.check(r, mark)
+		if err == nil {
+			run, err = f.enter(ctx, r)
+		}
+		if err != nil {
 			return outcome{err: err, load: f.load()}
 		}
 	}
+	start, err := f.crash.begin(ctx, r, mark)
+	if err != nil {
+		f.giveBack(run)
+		return outcome{err: err, load: f.load()}
+	}
 	answer, failure := f.run(ctx, r)
 	f.leave(run, answer, failure)
+	if failure != nil && (failure.Kind == fault.KindServerLost || failure.Kind == fault.KindCutShort) {
+		go f.broke(r, start)
+	} else {
+		f.crash.end(start, failure == nil && answer.Outcome != fault.Refused)
+	}
 	if failure != nil {
 		return outcome{err: failure, load: f.load(), ran: failure.Outcome != fault.Refused}
 	}
@@ -83,17 +99,32 @@
 	return outcome{answer: answer, load: answer.Load, ran: true}
 }
 
+// broke looks whether the server has crashed, after the connection of a request
+// broke.
+func (f *far) broke(r call.Request, start quarantine.Start) {
+	f.mu.Lock()
+	r.Target = f.server.ID
+	f.mu.Unlock()
+	if f.crash.failed(r, start) {
+		f.unreachable()
+	}
+}
+
+// giveBack frees the slot of a request that did not begin.
+func (f *far) giveBack(run *slots.Run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.Leave(run, false, time.Now())
+}
+
 // enter returns when the request may run, or an error when it will not.
 func (f *far) enter(ctx context.Context, r call.Request) (*slots.Run, *fault.Error) {
 	woken := make(chan bool, 1)
 	now := time.Now()
 	ask := slots.Ask{
-		Kind: r.Route, Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, Last: r.Last,
+		Kind: r.Route, Priority: r.Priority, Objective: r.Due(), Deadline: r.Deadline, Last: r.Last,
 		Wake: func(run bool) { woken <- run },
 	}
-	if ask.Objective.IsZero() {
-		ask.Objective = r.Deadline
-	}
 	for {
 		f.mu.Lock()
 		f.watch(now)
@@ -131,9 +162,7 @@
 		started = f.gate.Expire(run, time.Now())
 		f.mu.Unlock()
 	case <-ctx.Done():
-		f.mu.Lock()
-		f.gate.Leave(run, false, time.Now())
-		f.mu.Unlock()
+		f.giveBack(run)
 	}
 	if started {
 		return run, nil
--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
@@ -138,7 +139,7 @@
 			down = true
 			f.setDown(true)
 			f.outage(ctx)
-			sleep(ctx, spread(wait))
+			clock.Sleep(ctx, spread(wait))
 			wait = min(2*wait, followMost)
 			continue
 		}
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
@@ -21,7 +22,7 @@
 // join reads the list of nodes, tells of this node, and is told of the others.
 func (n *Node) join() {
 	for start := time.Now(); time.Since(start) < findPatience && !n.far.known(); {
-		sleep(n.running, findPatience/10)
+		clock.Sleep(n.running, findPatience/10)
 	}
 	n.recall()
 	n.announcer.update(n.running, func(e *roster.Entry) { n.far.describe(e) })
@@ -33,7 +34,7 @@
 			break
 		}
 		n.Log.WithError(err).Warn("list of nodes not read")
-		sleep(n.running, spread(joinRetry))
+		clock.Sleep(n.running, spread(joinRetry))
 	}
 	entries := make([]roster.Entry, len(members))
 	for i, m := range members {
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -9,12 +9,13 @@
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/slots"
 )
 
 // message is the head of what one node sends another. Exactly one of Call,
-// Reserve, News, Fetch and Follow is set.
+// Reserve, News, Fetch, Follow and Crash is set.
 type message struct {
 	Call *call.Request `msgpack:"c,omitempty"`
 	// Reserve is a request without its body, which wants a slot first.
@@ -26,6 +27,8 @@
 	Fetch bool `msgpack:"f,omitempty"`
 	// Follow asks for the next configuration after this version, once there is one.
 	Follow *uint64 `msgpack:"w,omitempty"`
+	// Crash tells of a crash of the sender's backend server.
+	Crash *quarantine.Incident `msgpack:"x,omitempty"`
 	// Version is the configuration that the sender of a Call or Reserve has.
 	Version uint64 `msgpack:"v,omitempty"`
 }
--- a/internal/mesh/news.go
+++ b/internal/mesh/news.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 )
@@ -258,7 +259,7 @@
 		if done {
 			return
 		}
-		sleep(ctx, publishedPoll)
+		clock.Sleep(ctx, publishedPoll)
 	}
 }
 
@@ -282,17 +283,8 @@
 		a.mu.Unlock()
 		if err != nil {
 			a.Log.WithError(err).WithField("change", own.Change).Warn("own entry not written")
-			sleep(ctx, spread(wait))
+			clock.Sleep(ctx, spread(wait))
 			wait = min(2*wait, publishMost)
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -11,9 +11,11 @@
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/caller"
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
 )
@@ -90,6 +92,7 @@
 	o := &n.Options
 	n.directory.Options = o
 	n.far.Options, n.far.changed = o, n.serverChanged
+	n.far.crash.Options, n.far.crash.tell = o, n.tellOfCrash
 	n.far.probes.SetLimit(probeRate)
 	n.far.probes.SetBurst(probeBurst)
 	n.far.pool.Names, n.far.pool.Observe = o.Names, n.far.observe
@@ -170,6 +173,8 @@
 	case m.Follow != nil:
 		raw, err := n.follower.relay(ctx, n.stopping.Load, *m.Follow)
 		return n.reply(response{Fault: err}, raw)
+	case m.Crash != nil:
+		return n.reply(response{Fault: n.far.crash.hear(string(in.From), *m.Crash)}, nil)
 	case m.Call == nil && m.Reserve == nil:
 		return n.reply(response{Fault: fault.New(fault.KindBadRequest, "message of a peer asks for nothing")}, nil)
 	}
@@ -217,6 +222,25 @@
 	n.announcer.update(n.running, func(e *roster.Entry) { n.far.describe(e) })
 }
 
+// tellOfCrash tells the nodes that may be given the requests in flight next.
+func (n *Node) tellOfCrash(i quarantine.Incident) {
+	head, err := encode(message{Crash: &i})
+	if err != nil {
+		n.Log.WithError(err).Error("incident not encoded")
+		return
+	}
+	for _, to := range n.directory.others() {
+		if to.Service != n.Service {
+			continue
+		}
+		go func() {
+			if _, err := n.announcer.ask(n.running, to, head); err != nil {
+				n.Log.WithError(err).WithField("node", to.Node).Info("node not told of a crash")
+			}
+		}()
+	}
+}
+
 // applied is called when a configuration is in force.
 func (n *Node) applied(t *route.Table) {
 	if s, ok := t.Service(n.Service); ok {
@@ -302,7 +326,7 @@
 	n.announcer.update(n.running, func(e *roster.Entry) { e.Stopping = true })
 	left := n.callers.Drain(ctx, stopNotice)
 	for n.inFlight.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, tickInterval/4)
+		clock.Sleep(ctx, tickInterval/4)
 	}
 	n.Log.WithField("node", n.Node()).WithField("left", left).WithField("peers", n.inFlight.Load()).Info("node stopped")
 	n.cancel()
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/roster"
@@ -51,7 +52,7 @@
 			return
 		}
 	}
-	sleep(ctx, spread(relayPause))
+	clock.Sleep(ctx, spread(relayPause))
 }
 
 // relay answers a node that follows this one: when there is a version after the
--- a/internal/mesh/reserve.go
+++ b/internal/mesh/reserve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/pkg/slots"
 )
 
@@ -30,9 +31,7 @@
 	time.AfterFunc(ticketTime, func() {
 		if run := f.redeem(ticket); run != nil {
 			f.Log.WithField("id", r.ID).WithField("ticket", ticket).Debug("no body came for a reserved slot")
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.gate.Leave(run, false, time.Now())
+			f.giveBack(run)
 		}
 	})
 	return outcome{ticket: ticket, load: f.load()}
@@ -54,7 +53,7 @@
 		if begun {
 			return
 		}
-		sleep(ctx, probeInterval/2)
+		clock.Sleep(ctx, probeInterval/2)
 	}
 }
 
--- a/pkg/quarantine/incident.go
+++ b/pkg/quarantine/incident.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"time"
 
@@ -14,6 +15,9 @@
 // Fingerprint is a hash of a request's service, method, URI and body.
 type Fingerprint uint64
 
+// String returns the fingerprint as it stands in logs.
+func (p Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
 // MaxPrints bounds the fingerprints of one incident; a server has at most some
 // dozen slots.
 const MaxPrints = 64
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -27,6 +27,7 @@
 	epoch     uint64 // number of crashes of the local server
 	records   map[Fingerprint]*record
 	incidents map[uint64]known
+	answered  answered
 }
 
 // run is a fingerprint on the local server.
@@ -91,7 +92,11 @@
 			t.running = slices.Delete(t.running, i, i+1)
 		}
 	}
-	if k := t.records[s.Print]; !answered || k == nil || k.crashes == 0 {
+	if !answered {
+		return Release{}, false
+	}
+	t.answered.add(s.Print, now)
+	if k := t.records[s.Print]; k == nil || k.crashes == 0 {
 		return Release{}, false
 	}
 	t.release(s.Print, now)
@@ -100,7 +105,8 @@
 
 // Crash ends all that is running, because the local server crashed under the
 // request s, and returns the incident to send to the other nodes before any
-// failure is reported to a caller. ok is false if another request of that crash
+// failure is reported to a caller. Requests that the server has answered before
+// are not in it. ok is false if another request of that crash
 // was first: what runs now was started later and had no part in it.
 func (t *Table) Crash(server string, s Start, now time.Time) (i Incident, ok bool) {
 	t.mu.Lock()
@@ -112,6 +118,9 @@
 	suspects := 0
 	prints := make([]Fingerprint, 0, len(t.running))
 	for _, r := range t.running {
+		if t.answered.has(r.print, now) {
+			continue
+		}
 		if r.suspect {
 			suspects++
 			prints = slices.Insert(prints, 0, r.print)
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -133,3 +134,29 @@
 	assert.Equal(t, len(node.records), maxRecords)
 	assert.Equal(t, node.Check(killer, start.Add(time.Second)), Refuse)
 }
+
+// Guards against popular lookups that become suspects at each crash, and then
+// run one at a time on every server.
+func TestAnsweredRequestsAreNoSuspects(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		want  Verdict
+	}{
+		"answered a moment ago":  {time.Second, Run},
+		"answered long ago":      {answeredTime, Alone},
+		"answered and forgotten": {answeredTime + time.Second, Alone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var node Table
+			s, _ := node.Begin(7, start)
+			node.End(s, true, start)
+			crash := start.Add(c.after)
+			node.Begin(7, crash)
+			kill, _ := node.Begin(killer, crash)
+			incident, ok := node.Crash("server", kill, crash)
+			assert.Assert(t, ok)
+			assert.Assert(t, slices.Contains(incident.Prints, killer))
+			assert.Equal(t, node.Check(7, crash), c.want)
+		})
+	}
+}
