Apply the limits of the configuration to the callers' port

Cause: limits were decoded and not applied. The port refused bodies over 8 MB with 413 where the configuration allows 64 MB, which callers do not retry, kept idle connections for 120 s instead of 15 s, and waited for a header without end.

Change: http1.Server.SetLimits changes the limits of a running server; the node sets them with each version. One that does not get whole in time gets 408.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -58,7 +58,11 @@
 func (s *Server) badRequest(err error) *http.Response {
 	switch {
 	case errors.Is(err, nbhttp.ErrTooLong):
-		return s.respondFault(fault.New(fault.KindTooLarge, "the body or the headers are over the limit"), "")
+		return s.respondFault(fault.New(fault.KindTooLarge, "the body is over the limit"), "")
+	case errors.Is(err, http1.ErrHeaderTooLarge):
+		return s.respondFault(fault.New(fault.KindHeaderTooLarge, "%v", err), "")
+	case errors.Is(err, http1.ErrHeaderTooSlow):
+		return s.respondFault(fault.New(fault.KindHeaderTooSlow, "%v", err), "")
 	case errors.Is(err, http1.ErrNoMemory):
 		return s.respondFault(fault.New(fault.KindOverloaded, "%v", err), "")
 	default:
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -94,7 +94,7 @@
 	n.shards.assemble(n)
 	n.measuring.assemble(n)
 	n.observed.assemble(n)
-	n.callers.Calls, n.callers.Rules, n.callers.MaxBody = n, &n.config, n.MaxBody
+	n.callers.Calls, n.callers.Rules, n.callers.Limits.Body = n, &n.config, n.MaxBody
 	n.announce.Handler = n.handleAnnounce
 	return n.operators.assemble(n)
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -44,7 +44,7 @@
 	mux.Handle("GET /metrics", metrics.Handler(&n.observed.metrics, &n.limits))
 	mux.HandleFunc("GET /ready", o.ready)
 	o.Handler = http1.Adapt(mux)
-	o.MaxBody = maxCommand
+	o.Limits.Body = maxCommand
 	return nil
 }
 
--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -94,7 +94,7 @@
 			c.state = chunkDone
 			return nil
 		}
-		if c.trailer += len(line); c.trailer > maxHeader {
+		if c.trailer += len(line); c.trailer > defaultHeader {
 			return eris.New("the trailer of a chunked body is too long")
 		}
 		_, _, err := readField(line)
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rotisserie/eris"
@@ -18,7 +19,8 @@
 // with each read.
 type framer struct {
 	nbhttp.Processor
-	limit int
+	// limits returns those in force.
+	limits func() *Limits
 	// memory is nil without a bound.
 	memory Memory
 
@@ -32,6 +34,9 @@
 
 	// head is the header as far as it has come, until it is whole and checked.
 	head []byte
+	// begun is when the first part of the header came that is not whole; zero
+	// while there is none.
+	begun time.Time
 	// declared tells the framing of the request whose body is to come.
 	declared head
 	// left is how many bytes of a body of declared length are still to come.
@@ -73,12 +78,13 @@
 // feedHead collects a header. A line that ends badly fails at once, because the
 // end of such a header may never be found.
 func (f *framer) feedHead(parse func([]byte) error, data []byte) (int, error) {
+	limit := f.limits().Header
 	for i, b := range data {
 		if len(f.head) == 0 && (b == '\r' || b == '\n') {
 			continue // empty lines before a request are ignored (RFC 9112, 2.2)
 		}
-		if len(f.head) >= maxHeader {
-			return 0, nbhttp.ErrTooLong
+		if len(f.head) >= limit {
+			return 0, ErrHeaderTooLarge
 		}
 		f.head = append(f.head, b)
 		if b != '\n' {
@@ -91,17 +97,33 @@
 			return i + 1, f.headDone(parse)
 		}
 	}
+	if len(f.head) > 0 && f.begun.IsZero() {
+		f.begun = time.Now()
+	}
 	return len(data), nil
 }
 
+// giveUp reports whether a header is not whole that began before a point in
+// time. Nothing more is read then.
+func (f *framer) giveUp(begun time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failed || f.begun.IsZero() || f.begun.After(begun) {
+		return false
+	}
+	f.failed = true
+	return true
+}
+
 // headDone checks a whole header. That of a chunked body is kept until the body
 // is whole.
 func (f *framer) headDone(parse func([]byte) error) error {
+	f.begun = time.Time{}
 	declared, err := readHead(f.head)
 	if err != nil {
 		return err
 	}
-	if declared.length > f.limit {
+	if declared.length > f.limits().Body {
 		return nbhttp.ErrTooLong
 	}
 	f.declared, f.left = declared, declared.length
@@ -149,7 +171,7 @@
 }
 
 func (f *framer) addChunk(data []byte) error {
-	if len(f.body)+len(data) > f.limit {
+	if len(f.body)+len(data) > f.limits().Body {
 		return nbhttp.ErrTooLong
 	}
 	return f.add(data)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -19,9 +20,6 @@
 )
 
 const (
-	defaultKeepAlive = 120 * time.Second
-	// maxHeader bounds the bytes of a request that the parser may keep back.
-	maxHeader = 64 << 10
 	// readBuffer is the size of the shared read buffer of each poller.
 	readBuffer = 32 << 10
 	pollers    = 2
@@ -55,17 +53,16 @@
 	Handler Handler
 	// BadRequest is nil for a plain 400 or 413.
 	BadRequest BadRequest
-	// MaxBody bounds a request body in bytes; zero means 8 MB.
-	MaxBody int
+	// Limits hold from the start, until SetLimits.
+	Limits Limits
 	// Memory bounds the bodies of all requests together; nil means no bound.
 	Memory Memory
-	// KeepAlive is how long a connection may be idle; zero means 120 s.
-	KeepAlive time.Duration
 	// Stall is how long a write may make no progress; zero means 30 s.
 	Stall time.Duration
 
 	engine   *nbhttp.Engine
 	listener net.Listener
+	limits   atomic.Pointer[Limits]
 	closing  sync.Once
 	// stopped is closed with the server.
 	stopped chan struct{}
@@ -84,11 +81,8 @@
 
 // Listen binds the address and starts to serve.
 func (s *Server) Listen(addr string) error {
-	if s.MaxBody == 0 {
-		s.MaxBody = 8 << 20
-	}
-	if s.KeepAlive == 0 {
-		s.KeepAlive = defaultKeepAlive
+	if s.limits.Load() == nil {
+		s.SetLimits(s.Limits)
 	}
 	if s.Stall == 0 {
 		s.Stall = defaultStall
@@ -107,11 +101,11 @@
 		Addrs:   []string{addr},
 		NPoller: pollers,
 		MaxLoad: maxConns,
-		// framer bounds the header; the parser may keep a whole chunk of a body.
-		ReadLimit:       s.MaxBody + maxHeader,
+		// framer applies the limits in force, which may change.
+		ReadLimit:       bodyCeiling + headerCeiling,
 		ReadBufferSize:  readBuffer,
-		MaxHTTPBodySize: s.MaxBody,
-		KeepaliveTime:   s.KeepAlive,
+		MaxHTTPBodySize: bodyCeiling,
+		KeepaliveTime:   s.current().Idle,
 		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		ServerExecutor:  func(f func()) { go f() },
 		Handler:         http.HandlerFunc(s.serve),
@@ -137,7 +131,7 @@
 	}
 	s.mu.Lock()
 	s.conns[nc] = &conn{
-		Conn: nc, stall: s.Stall, room: make(chan struct{}, 1), framer: framer{limit: s.MaxBody, memory: s.Memory},
+		Conn: nc, stall: s.Stall, room: make(chan struct{}, 1), framer: framer{limits: s.current, memory: s.Memory},
 	}
 	s.mu.Unlock()
 }
@@ -205,20 +199,23 @@
 	err := c.framer.feed(parser.Parse, data)
 	if err == nil {
 		if c.pending.Load() == 0 {
-			_ = c.SetReadDeadline(time.Now().Add(s.KeepAlive))
+			_ = c.SetReadDeadline(time.Now().Add(s.current().Idle))
 		}
 		return
 	}
 	if c.pending.Load() == 0 && !errors.Is(err, net.ErrClosed) {
-		go func() {
-			_ = c.respond(s.badRequest(err), nil, true)
-			time.AfterFunc(lingerTime, func() { _ = nc.CloseWithError(err) })
-		}()
+		go s.reject(c, err)
 		return
 	}
 	_ = nc.CloseWithError(err)
 }
 
+// reject answers input that is no request, and closes the connection.
+func (s *Server) reject(c *conn, err error) {
+	_ = c.respond(s.badRequest(err), nil, true)
+	time.AfterFunc(lingerTime, func() { _ = c.CloseWithError(err) })
+}
+
 func (s *Server) badRequest(err error) *http.Response {
 	if s.BadRequest != nil {
 		return s.BadRequest(err)
@@ -227,6 +224,10 @@
 	switch {
 	case errors.Is(err, nbhttp.ErrTooLong):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, ErrHeaderTooLarge):
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, ErrHeaderTooSlow):
+		status = http.StatusRequestTimeout
 	case errors.Is(err, ErrNoMemory):
 		status = http.StatusServiceUnavailable
 	}
@@ -260,7 +261,7 @@
 		_ = c.Close()
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(s.KeepAlive))
+	_ = c.SetReadDeadline(time.Now().Add(s.current().Idle))
 }
 
 func (s *Server) isDraining() bool {
@@ -270,11 +271,15 @@
 }
 
 // Tick cancels requests whose caller's connection is closed: nbhttp tells of
-// a close only after the running handler has returned.
+// a close only after the running handler has returned. It also ends connections
+// whose header does not get whole.
 func (s *Server) Tick() {
+	begun := time.Now().Add(-s.current().HeadTime)
 	for _, c := range s.snapshot() {
 		if closed, _ := c.IsClosed(); closed {
 			c.cancelRequest()
+		} else if c.pending.Load() == 0 && c.framer.giveUp(begun) {
+			go s.reject(c, ErrHeaderTooSlow)
 		}
 	}
 }
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -12,6 +12,7 @@
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/caller"
 	"github.com/vanillasail/vanillasail/internal/clock"
+	"github.com/vanillasail/vanillasail/internal/http1"
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
@@ -30,9 +31,11 @@
 	follower  follower
 	announcer announcer
 	callers   caller.Server
-	peers     peer.Client
-	serving   peer.Server
-	figures   figures
+	// bodies bounds the bodies that callers send.
+	bodies  call.Bodies
+	peers   peer.Client
+	serving peer.Server
+	figures figures
 
 	// running ends when the node stops.
 	running  context.Context
@@ -107,6 +110,8 @@
 	n.peers.Hello = []byte(o.Node)
 	n.serving.Handler = n.answer
 	n.callers.Calls, n.callers.Dialect = n, o.Dialect
+	n.bodies.Max = o.Bodies
+	n.callers.Memory = &n.bodies
 }
 
 // Ready reports whether callers should come to this node.
@@ -246,6 +251,8 @@
 	if s, ok := t.Service(n.Service); ok {
 		n.far.setHealth(s.Health)
 	}
+	l := t.Document.Limits
+	n.callers.SetLimits(http1.Limits{Header: l.Header, Body: l.Body, HeadTime: l.HeadTimeout, Idle: l.Idle})
 	if len(n.relays()) == 0 {
 		go n.spread()
 	}
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -69,6 +69,9 @@
 	// Advertised is the address at which other nodes reach Peer; empty where that is
 	// Peer itself.
 	Advertised string
+	// Bodies bounds the bodies of callers' requests that are held at a time, in
+	// bytes; zero means no bound.
+	Bodies int64
 	// Dialect is how callers name what they want.
 	Dialect caller.Dialect
 	// Fresh is set when the whole system starts for the first time, so that nothing is
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -40,6 +40,8 @@
 const (
 	KindBadRequest     Kind = "bad-request"
 	KindTooLarge       Kind = "too-large"
+	KindHeaderTooLarge Kind = "header-too-large"
+	KindHeaderTooSlow  Kind = "header-too-slow"
 	KindUnknownService Kind = "unknown-service"
 	KindNoServer       Kind = "no-server"
 	KindOverloaded     Kind = "overloaded"
@@ -144,6 +146,8 @@
 var defaults = map[Kind]Error{
 	KindBadRequest:     {Kind: KindBadRequest, Status: http.StatusBadRequest, Outcome: Refused, Remedy: "correct the request"},
 	KindTooLarge:       {Kind: KindTooLarge, Status: http.StatusRequestEntityTooLarge, Outcome: Refused, Remedy: "send a smaller body"},
+	KindHeaderTooLarge: {Kind: KindHeaderTooLarge, Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: Refused, Remedy: "send fewer or shorter header fields"},
+	KindHeaderTooSlow:  {Kind: KindHeaderTooSlow, Status: http.StatusRequestTimeout, Outcome: Refused, Remedy: "send the whole header at once"},
 	KindUnknownService: {Kind: KindUnknownService, Status: http.StatusNotFound, Outcome: Refused, Remedy: "ask an operator which services exist"},
 	KindNoServer:       {Kind: KindNoServer, Status: http.StatusServiceUnavailable, Outcome: Refused, Remedy: "retry later", Wait: time.Second},
 	KindOverloaded:     {Kind: KindOverloaded, Status: http.StatusServiceUnavailable, Outcome: Refused, Remedy: "retry after the stated wait", Wait: time.Second},
