Move the search for a server from the dispatch to pkg/placement

Cause: where a request goes next, when it waits and when it is given up is a decision, but it stood in the node beside the sending, without a test of its own.

Change: placement.Search holds the servers that handed a request back or failed, and picks the next; internal/mesh keeps the sending. No change of what is decided.

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -28,9 +28,7 @@
 	reached int
 	// silent counts the nodes that did not acknowledge the request.
 	silent int
-	// back lists servers that handed the request back, failed those that will not
-	// be tried again.
-	back, failed []string
+	search placement.Search
 	// ran is set when the request may have run.
 	ran  bool
 	last *fault.Error
@@ -68,12 +66,11 @@
 // choose picks a server, and tells whether the request should wait there.
 func (d *dispatch) choose(now time.Time) (choice placement.Choice, last, ok bool) {
 	var buf [32]placement.Server
-	servers := d.directory.servers(d.request.Service, buf[:0])
-	servers = d.without(servers)
-	ask := placement.Request{Bytes: len(d.request.Body) + usualAnswer, Work: d.work(), Tried: d.back}
-	choice, ok = d.Costs.Pick(servers, ask, now)
-	last = choice.Tried || choice.Others == 0 || len(d.back) >= maxHandBacks || choice.Server.Full(now)
-	return choice, last, ok
+	return d.search.Next(&d.Costs, d.directory.servers(d.request.Service, buf[:0]), d.wanted(), now)
+}
+
+func (d *dispatch) wanted() placement.Request {
+	return placement.Request{Bytes: len(d.request.Body) + usualAnswer, Work: d.work()}
 }
 
 func (d *dispatch) work() time.Duration {
@@ -82,29 +79,6 @@
 	return d.far.gate.Work(d.request.Route)
 }
 
-// without leaves out the servers that failed.
-func (d *dispatch) without(servers []placement.Server) []placement.Server {
-	if len(d.failed) == 0 {
-		return servers
-	}
-	kept := servers[:0]
-	for _, s := range servers {
-		if !contains(d.failed, s.ID) {
-			kept = append(kept, s)
-		}
-	}
-	return kept
-}
-
-func contains(list []string, id string) bool {
-	for _, s := range list {
-		if s == id {
-			return true
-		}
-	}
-	return false
-}
-
 // judge takes the outcome of one send. It returns true with the answer for the
 // caller.
 func (d *dispatch) judge(ctx context.Context, choice placement.Choice, last bool, out outcome) (*call.Answer, bool) {
@@ -118,27 +92,24 @@
 		}
 		d.granted = true
 		d.keep(out.answer)
-		d.failed = append(d.failed, node)
+		d.search.Failed(node)
 		return nil, false
 	}
 	d.last = out.err
 	switch {
 	case out.err.Kind == fault.KindHandedBack:
-		d.back = append(d.back, node)
+		d.search.HandedBack(node)
+		return nil, false
 	case out.silent:
 		d.ran = true
 		d.silent++
-		d.failed = append(d.failed, node)
 	case out.ran:
 		d.reached++
 		d.ran = true
-		d.failed = append(d.failed, node)
-	default:
-		if out.err.Kind == fault.KindShed {
-			d.reached++
-		}
-		d.failed = append(d.failed, node)
+	case out.err.Kind == fault.KindShed:
+		d.reached++
 	}
+	d.search.Failed(node)
 	return nil, false
 }
 
@@ -152,7 +123,8 @@
 	case d.last.Kind == fault.KindQuarantined:
 		return true // the other nodes of the service have heard of the crashes too
 	case d.last.Kind == fault.KindOverloaded:
-		return !d.roomElsewhere(time.Now())
+		var buf [32]placement.Server
+		return !d.search.RoomElsewhere(&d.Costs, d.directory.servers(d.request.Service, buf[:0]), d.wanted(), time.Now())
 	case d.last.Kind == fault.KindShed:
 		return d.used() >= d.attempts || !d.again(d.request.Service, shedShare, time.Now())
 	case d.last.Outcome == fault.Refused:
@@ -169,16 +141,6 @@
 // acknowledge it may have been slow only.
 func (d *dispatch) used() int { return d.reached + d.silent }
 
-// roomElsewhere reports whether some server may still have room, though the one
-// that seemed best has turned the request away.
-func (d *dispatch) roomElsewhere(now time.Time) bool {
-	if len(d.failed) > maxTurnAways {
-		return false
-	}
-	choice, _, ok := d.choose(now)
-	return ok && !choice.Tried && !choice.Server.Full(now)
-}
-
 // mayRepeat reports whether a request that may have run may be sent again.
 func (d *dispatch) mayRepeat(ctx context.Context) bool {
 	now := time.Now()
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -18,12 +18,6 @@
 )
 
 const (
-	// maxHandBacks is how often a request is handed back before it waits at a
-	// server; each costs a round trip.
-	maxHandBacks = 3
-	// maxTurnAways is how many servers that seemed best may turn a request away
-	// before the caller is told.
-	maxTurnAways = 2
 	// maxSends bounds the sends of one request to nodes, whatever comes back.
 	maxSends = 12
 	// minRetryAfter is the shortest time after which a refused caller may come
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -115,7 +116,7 @@
 	others := 0
 	for i := range servers {
 		s := &servers[i]
-		tried := contains(r.Tried, s.ID)
+		tried := slices.Contains(r.Tried, s.ID)
 		if !tried {
 			others++
 		}
@@ -173,12 +174,3 @@
 	age := now.Sub(s.Seen)
 	return !s.Seen.IsZero() && age < s.Wait
 }
-
-func contains(list []string, id string) bool {
-	for _, s := range list {
-		if s == id {
-			return true
-		}
-	}
-	return false
-}
