Emulate servers whose pace shifts and compare policies with an oracle

Cause: the load patterns of the platform were replayed in tests of single packages only. Nothing showed how far placement, limit and refusals together are from what could be earned, nor which situation loses most.

Change: internal/pacing runs placement.Search and slots.Gate on a fake clock over tables of servers and requests (spells, knee, bursts, cold and fewer servers), beside two choices, the version that knows the pace of answers only, and a queue that knows every server. `vanillasail experiment` prints a table, CSV, JSON or a plot. placement.Request.Draw makes ties repeatable.

--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -23,6 +23,7 @@
 	commander.Register(&nodeCommand{}, "run")
 	commander.Register(&demoCommand{}, "run")
 	commander.Register(&benchCommand{}, "test")
+	commander.Register(&experimentCommand{}, "test")
 	commander.Register(&checkCommand{}, "prepare")
 	commander.Register(&keysCommand{}, "prepare")
 	commander.Register(&standinCommand{}, "test")
--- /dev/null
+++ b/internal/pacing/pacing_test.go
@@ -0,0 +1,91 @@
+package pacing
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func patternNamed(t *testing.T, name string) Pattern {
+	p, ok := PatternNamed(name)
+	assert.Assert(t, ok)
+	return p
+}
+
+// Guards against figures that depend on anything but the options.
+func TestRunIsDeterministic(t *testing.T) {
+	for _, policy := range Policies() {
+		t.Run(policy, func(t *testing.T) {
+			o := Options{Pattern: patternNamed(t, "knee"), Case: Burst, Policy: policy, Load: 1.25, Seed: 7, Length: 3 * time.Second}
+			assert.DeepEqual(t, Run(o), Run(o))
+		})
+	}
+}
+
+// Guards against policies that are compared over different requests, and against
+// requests that are lost in the emulation.
+func TestPoliciesSeeTheSameRequests(t *testing.T) {
+	for _, c := range Cases() {
+		t.Run(string(c), func(t *testing.T) {
+			want := 0
+			for _, policy := range Policies() {
+				r := Run(Options{Pattern: patternNamed(t, "flat"), Case: c, Policy: policy, Load: 1, Seed: 3, Length: 4 * time.Second})
+				if want == 0 {
+					want = r.Requests
+				}
+				assert.Equal(t, r.Requests, want, policy)
+				assert.Assert(t, r.Credit > 0 && r.Credit <= 1 && r.Worst <= r.Credit+1e-9, "%+v", r)
+			}
+		})
+	}
+}
+
+// Guards against an emulated server that is never slow, or has no knee.
+func TestServersFollowThePattern(t *testing.T) {
+	p := patternNamed(t, "knee")
+	w := &world{Options: Options{Pattern: p}, messages: make(map[time.Duration][]message), servers: make([]server, 1), requests: []request{{work: 100 * time.Millisecond}}}
+	for name, c := range map[string]struct {
+		row  server
+		want time.Duration
+	}{
+		"usual":         {server{}, 100 * time.Millisecond},
+		"in a spell":    {server{slowUntil: time.Second}, 500 * time.Millisecond},
+		"cold":          {server{cold: true}, 200 * time.Millisecond},
+		"at the knee":   {server{running: 8}, 100 * time.Millisecond},
+		"over the knee": {server{running: 9}, 170 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clear(w.messages)
+			w.servers[0] = c.row
+			w.begin(0, 0)
+			assert.Equal(t, len(w.messages[c.want]), 1, "%v", w.messages)
+		})
+	}
+}
+
+// Guards against more servers that get less load each.
+func TestMoreServersGetAsMuchLoadEach(t *testing.T) {
+	small := patternNamed(t, "knee")
+	large := small.WithServers(70)
+	assert.Equal(t, large.Kinds[0].Rate, 7*small.Kinds[0].Rate)
+	assert.Assert(t, small.Kinds[0].Rate != large.Kinds[0].Rate, "the pattern itself has changed")
+}
+
+// Guards against formats that drop a figure.
+func TestWrite(t *testing.T) {
+	results := []Result{
+		{Pattern: "knee", Case: Burst, Load: 1, Policy: "product", Credit: 0.987},
+		{Pattern: "knee", Case: Burst, Load: 1.6, Policy: "product", Credit: 0.876},
+	}
+	for format, want := range map[string]string{"table": "0.987", "csv": ",0.987,", "json": `"credit": 0.876`, "svg": "knee, burst"} {
+		t.Run(format, func(t *testing.T) {
+			var out bytes.Buffer
+			assert.NilError(t, Write(&out, format, results))
+			assert.Assert(t, strings.Contains(out.String(), want), out.String())
+		})
+	}
+	assert.ErrorContains(t, Write(&bytes.Buffer{}, "pdf", nil), "csv")
+}
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -66,6 +66,9 @@
 	// Tried lists the servers that have handed the request back. What they told
 	// then is known, so that waiting at one of them compares with moving on.
 	Tried []string
+	// Draw returns a random number below n, which breaks ties; nil means that of
+	// math/rand.
+	Draw func(n int64) int64
 }
 
 // Choice is the server that was picked, with the numbers that decided.
@@ -135,7 +138,11 @@
 
 func (c *Costs) score(s *Server, r Request, now time.Time) time.Duration {
 	score := c.Travel[s.Distance] + c.PerKB[s.Distance]*time.Duration(r.Bytes)/1024
-	score += time.Duration(rand.Int64N(int64(jitter)))
+	draw := r.Draw
+	if draw == nil {
+		draw = rand.Int64N
+	}
+	score += time.Duration(draw(int64(jitter)))
 	if now.Before(s.Avoid) {
 		score += avoidCost
 	}
