Forget the pace of a former server process

Cause: a slow spell is told from a slow server by the lowest pace of the last 0.4 to 0.8 s. After a restart the server is slower by two for seconds, and the figures of the process before it made that a spell: the gate handed everything back for most of a second.

Change: Gate.Restarted, called when another process serves or the server takes connections again. The first figure after a pause counts as the lowest up to a factor of two only, since it may be that of a spell.

--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -4,8 +4,8 @@
 
 func (f *far) found(id string, healthy bool) {
 	f.mu.Lock()
-	f.lost = false
 	news := f.server.ID != id
+	f.back(news)
 	if news {
 		state := roster.Draining
 		if healthy {
@@ -21,14 +21,23 @@
 	}
 }
 
+// back notes that the server takes connections. It is called with the lock.
+func (f *far) back(replaced bool) {
+	if replaced || f.lost {
+		f.gate.Restarted()
+	}
+	f.lost = false
+}
+
 func (f *far) report(r roster.Report) bool {
 	f.mu.Lock()
+	old := f.server
 	changed, stale := f.server.Take(r)
 	if stale {
 		f.mu.Unlock()
 		return false
 	}
-	f.lost = false
+	f.back(old.ID != r.ID || old.Born != 0 && old.Born != r.Born)
 	f.gate.SetClosed(r.State != roster.Ready)
 	if r.Slots > 0 && f.gate.Limit.Slots() == 0 {
 		f.gate.Limit.SetSlots(r.Slots)
--- a/internal/pacing/gated.go
+++ b/internal/pacing/gated.go
@@ -201,7 +201,7 @@
 	v.Running, v.Limit, v.Pace, v.Wait = t.load.running, t.load.limit, t.load.pace, t.load.wait
 }
 
-func (g *gated) restarted(s int) { g.gates[s].Pace = slots.Pace{} }
+func (g *gated) restarted(s int) { g.gates[s].Restarted() }
 
 // each lets the gates look at their lines, asks for paces and pools limits.
 func (g *gated) each() {
--- a/pkg/slots/gate.go
+++ b/pkg/slots/gate.go
@@ -129,6 +129,10 @@
 // Closed reports whether the server takes no new work.
 func (g *Gate) Closed() bool { return g.closed }
 
+// Restarted forgets what was seen of the server's pace and answers, because a new
+// process serves. What its host can do at a time stays.
+func (g *Gate) Restarted() { g.Pace, g.Health = Pace{}, Health{} }
+
 // Running returns the number of requests at the server.
 func (g *Gate) Running() int { return g.running }
 
--- a/pkg/slots/gate_test.go
+++ b/pkg/slots/gate_test.go
@@ -327,3 +327,36 @@
 	}
 	return float64(onTime) / float64(asked)
 }
+
+// Guards against a server that gets no work for most of a second after its
+// restart, because it is compared with the pace of the process before it.
+func TestRestartedServerGetsWork(t *testing.T) {
+	for name, c := range map[string]struct {
+		restarted bool
+		figures   []float64
+		want      Verdict
+	}{
+		"cold, pace of the process before it": {false, []float64{2}, HandBack},
+		"cold":                                {true, []float64{2}, Start},
+		"cold, in a spell":                    {true, []float64{10}, HandBack},
+		"cold, after the spell":               {true, []float64{10, 2}, Start},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var g Gate
+			g.Limit.SetSlots(4)
+			now := epoch
+			for range 20 {
+				g.Pace.Observe(1, now)
+				now = now.Add(100 * time.Millisecond)
+			}
+			if c.restarted {
+				g.Restarted()
+			}
+			for _, f := range c.figures {
+				g.Pace.Observe(f, now)
+			}
+			_, verdict := g.Enter(Ask{Kind: "k", Objective: now.Add(time.Second), Deadline: now.Add(time.Second)}, now)
+			assert.Equal(t, verdict, c.want)
+		})
+	}
+}
--- a/pkg/slots/pace.go
+++ b/pkg/slots/pace.go
@@ -39,7 +39,8 @@
 	p.factor, p.seen = factor, now
 	switch age := now.Sub(p.window); {
 	case age >= 2*floorTime:
-		p.lowest, p.before, p.window = factor, factor, now
+		// The first figure may be that of a spell.
+		p.lowest, p.before, p.window = factor, min(factor, slowPace), now
 	case age >= floorTime:
 		p.lowest, p.before, p.window = factor, p.lowest, now
 	default:
