Let late work wait for the end of a slow spell

Cause: the last server that may be asked began a request in a slow spell when its objective was out of reach after the spell. It was late either way, but in the spell it took five times as long and kept its slot from four others.

Change: a late run stays in line behind those on time for up to one spell, and begins when the spell ends and late work may have a slot. Run.Until replaces Expire: the line is looked at again then. A body that came for a reserved slot waits as long.

--- a/internal/mesh/far.go
+++ b/internal/mesh/far.go
@@ -134,7 +134,10 @@
 		}
 		run, verdict := f.gate.Enter(ask, now)
 		wait := f.gate.Estimate(r.Priority)
-		work := f.gate.Work(ask.Kind)
+		var until time.Duration
+		if verdict == slots.Wait {
+			until = time.Until(run.Until())
+		}
 		f.mu.Unlock()
 		switch verdict {
 		case slots.Start:
@@ -144,32 +147,36 @@
 		case slots.TurnAway:
 			return nil, overloaded(wait)
 		case slots.Wait:
-			return f.wait(ctx, run, ask, work, woken)
+			return f.wait(ctx, run, until, woken)
 		}
 		f.freshen(ctx)
 		ask.Looked, now = true, time.Now()
 	}
 }
 
-func (f *far) wait(ctx context.Context, run *slots.Run, ask slots.Ask, work time.Duration, woken <-chan bool) (*slots.Run, *fault.Error) {
-	late := time.NewTimer(time.Until(ask.Objective) - work)
-	defer late.Stop()
-	started := false
-	select {
-	case started = <-woken:
-	case <-late.C:
+func (f *far) wait(ctx context.Context, run *slots.Run, until time.Duration, woken <-chan bool) (*slots.Run, *fault.Error) {
+	look := time.NewTimer(until)
+	defer look.Stop()
+	for {
+		select {
+		case started := <-woken:
+			if started {
+				return run, nil
+			}
+		case <-look.C:
+			f.mu.Lock()
+			f.gate.Tick(time.Now())
+			again := time.Until(run.Until())
+			f.mu.Unlock()
+			look.Reset(max(again, time.Millisecond))
+			continue
+		case <-ctx.Done():
+			f.giveBack(run)
+		}
 		f.mu.Lock()
-		started = f.gate.Expire(run, time.Now())
-		f.mu.Unlock()
-	case <-ctx.Done():
-		f.giveBack(run)
-	}
-	if started {
-		return run, nil
+		defer f.mu.Unlock()
+		return nil, overloaded(f.gate.Estimate(run.Priority))
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return nil, overloaded(f.gate.Estimate(ask.Priority))
 }
 
 func overloaded(wait time.Duration) *fault.Error {
--- a/pkg/slots/gate.go
+++ b/pkg/slots/gate.go
@@ -12,9 +12,10 @@
 // 150 ms, and work that begins in a spell keeps its pace to the end. What the
 // callers' nodes know is older than a spell, so the gate hands a request back in a
 // slow spell or when full, and the sender goes elsewhere for the price of one round
-// trip. The last server that a sender may ask keeps the request in line until the
-// spell is over if its objective can still be met, and turns it away at once if
-// not. A request does not begin on a figure older than a few milliseconds: it asks
+// trip. The last server that a sender may ask keeps the request in line if its
+// objective can still be met, or if only the spell is in its way: a run that begins
+// in a spell takes five times as long and keeps its slot from four others. What has
+// to wait for a slot and would be late is turned away at once. A request does not begin on a figure older than a few milliseconds: it asks
 // the server first, which costs less than one request in fifteen that is late.
 //
 // The zero value has no slots and hands everything back. Gate is not safe for
@@ -86,8 +87,17 @@
 	// level is the number of requests that ran when this one began, itself included.
 	level   int
 	waiting bool
+	// late is set for a run in line that is beyond its objective and waits for the
+	// end of a spell, until a time.
+	late  bool
+	until time.Time
+	// held is when a run that has its slot was first kept from beginning.
+	held time.Time
 }
 
+// Until returns when the line has to be looked at again for a run that waits.
+func (r *Run) Until() time.Time { return r.until }
+
 // Load is what other nodes are told of the server.
 type Load struct {
 	Running, Waiting, Limit, Slots int
@@ -180,15 +190,29 @@
 	case !ask.Last:
 		return nil, HandBack
 	case late || now.Add(g.Estimate(ask.Priority)+work).After(ask.Objective):
-		return nil, TurnAway
+		if !g.waitOut(run, work, now) {
+			return nil, TurnAway
+		}
 	case len(g.line) >= lineFactor*g.Limit.Current() && !g.evict(ask.Priority):
 		return nil, TurnAway
+	default:
+		run.until = ask.Objective.Add(-work)
 	}
 	run.waiting = true
 	g.insert(run)
 	return run, Wait
 }
 
+// waitOut lets a run that will be late wait for the end of the spell, and reports
+// whether it has to.
+func (g *Gate) waitOut(run *Run, work time.Duration, now time.Time) bool {
+	if !g.Pace.Slow(now) || !g.lateRoom(now) || now.Add(spellTime+work).After(run.Deadline) {
+		return false
+	}
+	run.late, run.until = true, now.Add(spellTime)
+	return true
+}
+
 // begins reports whether a request with a free slot should begin at this pace.
 func (g *Gate) begins(ask Ask, work time.Duration, now time.Time) bool {
 	switch {
@@ -198,10 +222,15 @@
 		return true
 	}
 	// A slow run takes its slot for several others. It begins where slots are idle
-	// and it still ends in time, or where waiting for the end of the spell would not.
-	slowed := time.Duration(float64(work) * g.Pace.Factor(now) / g.Pace.Floor())
+	// and it still ends in time, or where it ends sooner than after the spell.
+	slowed := g.slowed(work, now)
 	idle := 2*g.running < g.Limit.Current()
-	return idle && !now.Add(slowed).After(ask.Objective) || now.Add(spellTime+work).After(ask.Objective)
+	return idle && !now.Add(slowed).After(ask.Objective) || slowed <= spellTime+work
+}
+
+// slowed returns how long work takes that begins at the present pace.
+func (g *Gate) slowed(work time.Duration, now time.Time) time.Duration {
+	return time.Duration(float64(work) * g.Pace.Factor(now) / g.Pace.Floor())
 }
 
 // Estimate returns how long a request of a priority would wait for a slot.
@@ -274,46 +303,66 @@
 // Tick starts requests that wait and turns away those that can no longer be on
 // time.
 func (g *Gate) Tick(now time.Time) {
-	kept := g.line[:0]
+	line := g.line
+	g.line = nil
 	var away []*Run
-	for _, r := range g.line {
-		if g.closed || now.Add(g.Work(r.Kind)).After(r.Objective) {
+	for _, r := range line {
+		if g.stays(r, now) {
+			g.insert(r)
+		} else {
 			r.waiting = false
 			away = append(away, r)
-			continue
 		}
-		kept = append(kept, r)
 	}
-	g.line = kept
-	for len(g.line) > 0 && g.running < g.Limit.Current() && !g.Pace.Slow(now) {
+	for len(g.line) > 0 && g.hasRoom(g.line[0], now) {
 		next := g.line[0]
 		g.line = g.line[1:]
 		g.start(next, now)
 		next.Wake(true)
 	}
 	for _, r := range away {
-		started := g.startLate(r, now)
+		started := !g.closed && !g.Pace.Slow(now) && g.lateRoom(now)
+		if started {
+			g.start(r, now)
+		}
 		r.Wake(started)
 	}
 }
 
-// Begin reports whether the work of a run that has its slot already should begin
-// now, and notes the pace if so. Otherwise it is asked again after a while.
-func (g *Gate) Begin(run *Run, now time.Time) bool {
-	if g.Pace.Slow(now) && !now.Add(spellTime+g.Work(run.Kind)).After(run.Objective) {
+// stays reports whether a run should go on waiting.
+func (g *Gate) stays(r *Run, now time.Time) bool {
+	work := g.Work(r.Kind)
+	switch {
+	case g.closed:
 		return false
+	case r.late:
+		return now.Before(r.until) && !now.Add(work).After(r.Deadline)
+	case now.Add(work).After(r.Objective):
+		return g.waitOut(r, work, now)
+	default:
+		return true
 	}
-	run.started, run.slow, run.floor = now, g.Pace.Slow(now), g.Pace.Floor()
-	return true
 }
 
-// startLate starts a request that is too late for its objective where that takes
-// no slot from others.
-func (g *Gate) startLate(run *Run, now time.Time) bool {
-	if g.closed || !g.lateRoom(now) {
+// hasRoom reports whether a run that waits may begin.
+func (g *Gate) hasRoom(r *Run, now time.Time) bool {
+	if g.Pace.Slow(now) {
 		return false
 	}
-	g.start(run, now)
+	return g.running < g.Limit.Current() && (!r.late || g.lateRoom(now))
+}
+
+// Begin reports whether the work of a run that has its slot already should begin
+// now, and notes the pace if so. Otherwise it is asked again after a while.
+func (g *Gate) Begin(run *Run, now time.Time) bool {
+	if run.held.IsZero() {
+		run.held = now
+	}
+	work := g.Work(run.Kind)
+	if g.Pace.Slow(now) && now.Before(run.held.Add(spellTime)) && g.slowed(work, now) > spellTime+work {
+		return false
+	}
+	run.started, run.slow, run.floor = now, g.Pace.Slow(now), g.Pace.Floor()
 	return true
 }
 
@@ -326,16 +375,6 @@
 	return float64(g.running) < share*float64(g.Limit.Current())
 }
 
-// Expire ends the wait of a request that can no longer be on time. It reports
-// whether the request runs.
-func (g *Gate) Expire(run *Run, now time.Time) bool {
-	if !run.waiting {
-		return !run.started.IsZero()
-	}
-	g.remove(run)
-	return g.startLate(run, now)
-}
-
 // Load returns the figures that ride on answers and refusals.
 func (g *Gate) Load(now time.Time) Load {
 	return Load{
--- a/pkg/slots/gate_test.go
+++ b/pkg/slots/gate_test.go
@@ -250,10 +250,67 @@
 	g.Pace.Observe(5, epoch.Add(70*time.Millisecond))
 	run, v := g.Enter(ask(1, 290*time.Millisecond, true, &woken, 2), epoch.Add(70*time.Millisecond))
 	assert.Equal(t, v, Wait)
-	assert.Assert(t, g.Expire(run, epoch.Add(250*time.Millisecond)))
+	assert.Equal(t, run.Until(), epoch.Add(240*time.Millisecond))
+	g.Tick(epoch.Add(250 * time.Millisecond))
+	assert.DeepEqual(t, woken, []int{1, 2})
 	assert.Equal(t, g.Running(), 2)
 }
 
+// Guards against work beyond its objective that begins in a slow spell and keeps
+// its slot from four other requests; and against such work that is held for longer
+// than a spell, or takes the slot of a request that can be on time.
+func TestLateWorkWaitsForTheEndOfASpell(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		// paces are the figures after 100, 200 and 300 ms.
+		paces []float64
+		// due is when the objective of the late request is; that of another one,
+		// which comes after 50 ms, is at 290 ms.
+		due   time.Duration
+		after []int
+	}{
+		"begins after the spell, behind the one on time": {paces: []float64{1}, due: 40 * ms, after: []int{2, 1}},
+		"becomes late while it waits":                    {paces: []float64{5, 1}, due: 160 * ms, after: []int{2, 1}},
+		"is turned away when the spell does not end":     {paces: []float64{5, 5, 5}, due: 40 * ms, after: []int{-1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gate(2)
+			var woken []int
+			g.Pace.Observe(1, epoch)
+			g.Pace.Observe(5, epoch)
+			late := ask(1, c.due, true, &woken, 1)
+			late.Looked = true
+			_, v := g.Enter(late, epoch.Add(10*ms))
+			assert.Equal(t, v, Wait)
+			other := ask(1, 290*ms, true, &woken, 2)
+			other.Looked = true
+			_, v = g.Enter(other, epoch.Add(50*ms))
+			assert.Equal(t, v, Wait)
+			for i, pace := range c.paces {
+				at := epoch.Add(time.Duration(i+1) * 100 * ms)
+				g.Pace.Observe(pace, at)
+				g.Tick(at)
+			}
+			assert.DeepEqual(t, woken, c.after)
+		})
+	}
+}
+
+// Guards against a body that came for a reserved slot and begins in a slow spell,
+// and against one that waits for longer than a spell.
+func TestReservedRunsWaitForTheEndOfASpell(t *testing.T) {
+	g := gate(2)
+	run, v := g.Enter(Ask{Kind: "k", Objective: epoch.Add(time.Millisecond), Deadline: epoch.Add(time.Second), Last: true}, epoch)
+	assert.Equal(t, v, Start)
+	g.Pace.Observe(1, epoch)
+	g.Pace.Observe(5, epoch)
+	assert.Assert(t, !g.Begin(run, epoch))
+	g.Pace.Observe(5, epoch.Add(100*time.Millisecond))
+	assert.Assert(t, !g.Begin(run, epoch.Add(100*time.Millisecond)))
+	g.Pace.Observe(5, epoch.Add(spellTime))
+	assert.Assert(t, g.Begin(run, epoch.Add(spellTime)))
+}
+
 // Guards against slow runs that fill the slots of an overloaded server: replays
 // 60 s of spells with arrivals at the rate of the whole capacity.
 func TestWaitingForSpellsServesMore(t *testing.T) {
--- a/pkg/slots/line.go
+++ b/pkg/slots/line.go
@@ -1,13 +1,14 @@
 package slots
 
 func (g *Gate) hasWaiting(priority int) bool {
-	return len(g.line) > 0 && g.line[0].Priority <= priority
+	return len(g.line) > 0 && !g.line[0].late && g.line[0].Priority <= priority
 }
 
-// insert keeps the line ordered by priority, then by arrival.
+// insert keeps the line in order: what can be on time before what is late, then by
+// priority, then by arrival.
 func (g *Gate) insert(run *Run) {
 	i := len(g.line)
-	for i > 0 && g.line[i-1].Priority > run.Priority {
+	for i > 0 && run.before(g.line[i-1]) {
 		i--
 	}
 	g.line = append(g.line, nil)
@@ -15,10 +16,17 @@
 	g.line[i] = run
 }
 
+func (r *Run) before(other *Run) bool {
+	if r.late != other.late {
+		return other.late
+	}
+	return r.Priority < other.Priority
+}
+
 // evict turns away the last of the line for a more urgent request.
 func (g *Gate) evict(priority int) bool {
 	last := g.line[len(g.line)-1]
-	if last.Priority <= priority {
+	if !last.late && last.Priority <= priority {
 		return false
 	}
 	g.line = g.line[:len(g.line)-1]
