Let the peer of a test read the request before it closes

Its stand-in read once and closed; when that was the hello only, the connection was lost before the request was written, so "not sent" was right.

Change: the stand-in closes after it has read the frame that opens the request. The check stays.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -101,10 +101,14 @@
 	_ = addr
 	go func() {
 		conn, err := silent.Accept()
-		if err == nil {
-			_, _ = conn.Read(make([]byte, 1024))
-			_ = conn.Close()
+		if err != nil {
+			return
 		}
+		// Closed after the hello alone, the connection would be lost before the
+		// request left.
+		for f, err := readFrame(conn); err == nil && f.kind != frameOpen; f, err = readFrame(conn) {
+		}
+		_ = conn.Close()
 	}()
 	_, err = lost.Call(context.Background(), silent.Addr().String(), Request{Head: []byte("x")})
 	assert.ErrorIs(t, err, ErrLost)
