--- /dev/null
+++ b/internal/cli/log_files.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+)
+
+// maxLogLine bounds a line of a log that is read.
+const maxLogLine = 1 << 20
+
+// readLogs passes on the lines of files, or of in where there are none.
+func readLogs(paths []string, in io.Reader, line func(source, text string)) error {
+	if len(paths) == 0 {
+		return readLog("-", in, line)
+	}
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("log: %w; name a file that can be read", err)
+		}
+		err = readLog(path, file, line)
+		if closed := file.Close(); err == nil {
+			err = closed
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(source string, r io.Reader, line func(source, text string)) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		line(source, scanner.Text())
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("log %s: %w", source, err)
+	}
+	return nil
+}
--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -27,6 +27,7 @@
 	commander.Register(&checkCommand{}, "prepare")
 	commander.Register(&keysCommand{}, "prepare")
 	commander.Register(&standinCommand{}, "test")
+	commander.Register(&causesCommand{out: os.Stdout, in: os.Stdin}, "operate")
 	commander.Register(&storyCommand{out: os.Stdout, in: os.Stdin}, "operate")
 	for _, c := range operatorCommands(os.Stdin, os.Stdout, os.Stderr) {
 		commander.Register(c, "operate")
--- a/internal/cli/story.go
+++ b/internal/cli/story.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"bufio"
 	"context"
 	"flag"
 	"fmt"
@@ -14,9 +13,6 @@
 	"github.com/google/subcommands"
 )
 
-// maxLogLine bounds a line of a log that is read.
-const maxLogLine = 1 << 20
-
 // storyCommand prints what the logs of many nodes say of one request.
 type storyCommand struct {
 	calls bool
@@ -47,21 +43,8 @@
 		return subcommands.ExitUsageError
 	}
 	s := story{id: f.Arg(0), calls: c.calls}
-	if f.NArg() == 1 {
-		s.read("-", c.in)
-	}
-	for _, path := range f.Args()[1:] {
-		file, err := os.Open(path)
-		if err != nil {
-			return fail(fmt.Errorf("log: %w; name a file that can be read", err))
-		}
-		s.read(path, file)
-		if err := file.Close(); err != nil {
-			return fail(err)
-		}
-	}
-	if s.err != nil {
-		return fail(s.err)
+	if err := readLogs(f.Args()[1:], c.in, s.add); err != nil {
+		return fail(err)
 	}
 	s.print(c.out)
 	if len(s.lines) == 0 {
@@ -77,7 +60,6 @@
 	lines []storyLine
 	// leftOut counts reports of lines that a node did not write.
 	leftOut int
-	err     error
 }
 
 type storyLine struct {
@@ -89,27 +71,19 @@
 	logTime = regexp.MustCompile(`timestamp=(\S+) ?`)
 )
 
-func (s *story) read(source string, r io.Reader) {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		line := scanner.Text()
-		if strings.Contains(line, "log lines left out") {
-			s.leftOut++
-			continue
-		}
-		if found := logID.FindStringSubmatch(line); found == nil || !s.belongs(strings.Trim(found[1], `"`)) {
-			continue
-		}
-		at := ""
-		if found := logTime.FindStringSubmatch(line); found != nil {
-			at = found[1]
-		}
-		s.lines = append(s.lines, storyLine{at, source, logTime.ReplaceAllString(line, "")})
+func (s *story) add(source, line string) {
+	if strings.Contains(line, "log lines left out") {
+		s.leftOut++
+		return
+	}
+	if found := logID.FindStringSubmatch(line); found == nil || !s.belongs(strings.Trim(found[1], `"`)) {
+		return
 	}
-	if err := scanner.Err(); err != nil && s.err == nil {
-		s.err = fmt.Errorf("log %s: %w", source, err)
+	at := ""
+	if found := logTime.FindStringSubmatch(line); found != nil {
+		at = found[1]
 	}
+	s.lines = append(s.lines, storyLine{at, source, logTime.ReplaceAllString(line, "")})
 }
 
 // belongs reports whether a line with this id is part of the story. A call has
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -106,7 +106,9 @@
 		}
 		// Closed after the hello alone, the connection would be lost before the
 		// request left.
-		for f, err := readFrame(conn); err == nil && f.kind != frameOpen; f, err = readFrame(conn) {
+		var f frame
+		for err == nil && f.kind != frameOpen {
+			f, err = readFrame(conn)
 		}
 		_ = conn.Close()
 	}()
