--- a/internal/backend/names.go
+++ b/internal/backend/names.go
@@ -36,10 +36,14 @@
 // ServerLoad is what a server tells of itself on an answer.
 type ServerLoad struct {
 	Running, Waiting, Slots int
-	// Pace is 1 as usual and greater when the server's host is slow.
+	// Pace is 1 as usual, greater when the server's host is slow, and 0 when the
+	// server does not tell it.
 	Pace float64
 }
 
+// maxFigure bounds each figure of a load that is to be believed.
+const maxFigure = 1 << 16
+
 // loadOf reads the load header; ok is false when it is missing or malformed.
 func (n Names) loadOf(h http.Header) (load ServerLoad, ok bool) {
 	if n.Load == "" {
@@ -50,10 +54,9 @@
 		return load, false
 	}
 	var figures [4]int
-	figures[3] = 100
 	for i := range min(len(parts), len(figures)) {
 		v, err := strconv.Atoi(strings.TrimSpace(parts[i]))
-		if err != nil || v < 0 {
+		if err != nil || v < 0 || v > maxFigure {
 			return load, false
 		}
 		figures[i] = v
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -46,6 +47,8 @@
 	// syncWrite is the largest request that is written before the answer is read:
 	// it fits the socket's buffers.
 	syncWrite = 8 << 10
+	// maxHeader bounds the header of an answer in bytes.
+	maxHeader = 64 << 10
 	// maxSkipped bounds the answers to other requests that are skipped.
 	maxSkipped = 4
 )
@@ -54,6 +57,9 @@
 type serverConn struct {
 	net.Conn
 	reader *bufio.Reader
+	// header counts the bytes that may still be read for a header; it is negative
+	// while there is no bound.
+	header int
 	// until is when the connection must not be used any more.
 	until time.Time
 	since time.Time
@@ -158,10 +164,12 @@
 func (p *Pool) read(c *serverConn, r call.Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxSkipped {
+		c.header = maxHeader
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
+		c.header = -1
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -229,9 +237,30 @@
 	if err != nil {
 		return nil, fault.New(fault.KindNoServer, "backend server accepts no connection: %v", err)
 	}
-	return &serverConn{Conn: conn, reader: bufio.NewReaderSize(conn, 4<<10)}, nil
+	return newServerConn(conn), nil
 }
 
+func newServerConn(conn net.Conn) *serverConn {
+	c := &serverConn{Conn: conn, header: -1}
+	c.reader = bufio.NewReaderSize(c, 4<<10)
+	return c
+}
+
+// Read implements io.Reader. net/http reads a header of any length.
+func (c *serverConn) Read(p []byte) (int, error) {
+	if c.header < 0 {
+		return c.Conn.Read(p)
+	}
+	if c.header == 0 {
+		return 0, errHeader
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.header)])
+	c.header -= n
+	return n, err
+}
+
+var errHeader = errors.New("the header of the answer is over the limit")
+
 // put keeps a connection whose answer was read whole and nothing more came.
 func (p *Pool) put(c *serverConn) {
 	if c.spoiled || c.reader.Buffered() > 0 {
--- a/internal/mesh/far.go
+++ b/internal/mesh/far.go
@@ -32,7 +32,9 @@
 	// asked is when the last request came, probing whether probes are under way.
 	asked   time.Time
 	probing bool
-	health  string
+	// untold is set when the server's answers do not tell its pace.
+	untold bool
+	health string
 	// looking is closed by the answer to the probe that is under way.
 	looking chan struct{}
 	// probes bounds the probes of the server.
@@ -289,6 +291,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.untold = load.Pace == 0
 	f.gate.Pace.Observe(load.Pace, now)
 	f.gate.Tick(now)
 	if load.Slots > 0 {
--- a/internal/mesh/probe.go
+++ b/internal/mesh/probe.go
@@ -26,7 +26,7 @@
 // watch keeps the pace fresh while requests come. It is called with the lock.
 func (f *far) watch(now time.Time) {
 	f.asked = now
-	if !f.probing && f.server.ID != "" && f.health != "" {
+	if !f.probing && !f.untold && f.server.ID != "" && f.health != "" {
 		f.probing = true
 		time.AfterFunc(probeInterval, f.look)
 	}
@@ -35,7 +35,7 @@
 func (f *far) look() {
 	now := time.Now()
 	f.mu.Lock()
-	if now.Sub(f.asked) > probeWhile || f.server.ID == "" || f.lost {
+	if now.Sub(f.asked) > probeWhile || f.server.ID == "" || f.lost || f.untold {
 		f.probing = false
 		f.mu.Unlock()
 		return
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -170,3 +170,20 @@
 		})
 	}
 }
+
+// FuzzReadFrame checks that no bytes of a peer break a node or take memory for a
+// length that they only claim.
+func FuzzReadFrame(f *testing.F) {
+	f.Add(append(appendHeader(nil, frameOpen, 1, 2), "hi"...))
+	f.Add(appendHeader(nil, frameData, 1, maxFrame+1))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r := bytes.NewReader(raw)
+		for {
+			got, err := readFrame(r)
+			if err != nil {
+				return
+			}
+			assert.Assert(t, len(got.payload) <= len(raw))
+		}
+	})
+}
--- a/pkg/roster/entry.go
+++ b/pkg/roster/entry.go
@@ -51,8 +51,8 @@
 const (
 	// maxText bounds each name, so that a malformed entry takes no memory.
 	maxText = 200
-	// maxSlots bounds the slots of a server that is to be believed.
-	maxSlots = 1 << 16
+	// MaxSlots bounds the slots of a server that is to be believed.
+	MaxSlots = 1 << 16
 )
 
 // Check reports why an entry names no node.
@@ -62,8 +62,8 @@
 			return fault.New(fault.KindBadRequest, "entry of node %.40q: a name is empty or longer than %d bytes", e.Node, maxText)
 		}
 	}
-	if e.Slots < 0 || e.Slots > maxSlots || e.Limit < 0 || e.Limit > maxSlots || len(e.Server) > maxText {
-		return fault.New(fault.KindBadRequest, "entry of node %q: %d slots are not between 0 and %d", e.Node, e.Slots, maxSlots)
+	if e.Slots < 0 || e.Slots > MaxSlots || e.Limit < 0 || e.Limit > MaxSlots || len(e.Server) > maxText {
+		return fault.New(fault.KindBadRequest, "entry of node %q: %d slots are not between 0 and %d", e.Node, e.Slots, MaxSlots)
 	}
 	switch e.State {
 	case Absent, Ready, Draining, Gone:
