Let nodes of a first start find each other in the list

Cause: each node that starts tells its entry to all nodes that may have read the list before it was in it. When all start within some tenths of a second that is half of all pairs, each with a connection of its own.

Change: at the first start of the whole system a node reads the list a second after its own entry was written, and its entry carries the registry's clock from before. Nodes whose second was not over when an entry was written find it by themselves and are not told. The follower waits as much longer for the list.

--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -52,6 +52,15 @@
 	down bool
 	// held counts the requests of nodes that follow this one.
 	held int
+	// seen is the registry's clock at its last answer.
+	seen time.Duration
+}
+
+// clock returns the registry's clock at its last answer, or zero.
+func (f *follower) clock() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen
 }
 
 func (f *follower) version() uint64 {
@@ -148,6 +157,9 @@
 			f.setDown(false)
 		}
 		position = max(position, v.Position)
+		f.mu.Lock()
+		f.seen = v.Clock
+		f.mu.Unlock()
 		f.apply(v, "registry")
 		if !known {
 			f.awaitOthers(ctx)
@@ -157,7 +169,11 @@
 }
 
 func (f *follower) awaitOthers(ctx context.Context) {
-	timer := time.NewTimer(joinPatience)
+	patience := joinPatience
+	if f.Fresh {
+		patience += freshPause
+	}
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case <-f.joined:
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -17,6 +17,10 @@
 	// in the registry, and limitDrift the difference that is written.
 	keepInterval = 5 * time.Second
 	limitDrift   = 2
+	// freshPause is how long after its first entry a node that starts with the whole
+	// system reads the list of nodes: all start within 0.3 s of each other and take
+	// some tenths to write, and who is in the list need not be told.
+	freshPause = time.Second
 )
 
 // join reads the list of nodes, tells of this node, and is told of the others.
@@ -25,8 +29,16 @@
 		clock.Sleep(n.running, findPatience/10)
 	}
 	n.recall()
-	n.announcer.update(n.running, func(e *roster.Entry) { n.far.describe(e) })
+	n.announcer.update(n.running, func(e *roster.Entry) {
+		n.far.describe(e)
+		if n.Fresh {
+			e.Clock = n.follower.clock()
+		}
+	})
 	n.announcer.awaitPublished(n.running)
+	if n.Fresh {
+		clock.Sleep(n.running, freshPause)
+	}
 	var members []Member
 	for n.running.Err() == nil {
 		var err error
--- a/internal/mesh/news.go
+++ b/internal/mesh/news.go
@@ -42,10 +42,10 @@
 	own roster.Entry
 	// owed counts the tries for peers that do not know the newest entry.
 	owed map[string]int
-	// published is the change that the registry has, and first the position of the
-	// first entry that was written.
+	// published is the change that the registry has, and first where and when the
+	// first entry was written.
 	published  uint64
-	first      uint64
+	first      Written
 	publishing bool
 	telling    bool
 	// fetching is set while the configuration of another node is fetched.
@@ -94,15 +94,19 @@
 	a.tellOwed(ctx)
 }
 
-// aware returns the nodes that find this one in the list of nodes by themselves:
-// their first entry was written after that of this node, and each reads the list
-// after that. A node that has written another entry since read it earlier.
+// aware returns the nodes that find this one in the list of nodes by themselves,
+// because they read it after the first entry of this node was written: those whose
+// own first entry was written later, and those whose pause was not over then. A node
+// that has written another entry since may have read the list earlier, unless it
+// started with the whole system.
 func (a *announcer) aware(members []Member) map[string]bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	aware := make(map[string]bool)
 	for _, m := range members {
-		if a.first > 0 && m.Position > a.first && m.Change == 1 {
+		later := a.first.Position > 0 && m.Position > a.first.Position && m.Change == 1
+		pausing := a.first.Clock > 0 && m.Clock > 0 && m.Clock+freshPause >= a.first.Clock
+		if later || pausing {
 			aware[m.Node] = true
 		}
 	}
@@ -267,11 +271,11 @@
 	wait := publishRetry
 	for {
 		own := a.entry()
-		position, err := a.Registry.Publish(ctx, own)
+		written, err := a.Registry.Publish(ctx, own)
 		a.mu.Lock()
 		if err == nil {
 			if a.published == 0 {
-				a.first = position
+				a.first = written
 			}
 			a.published = own.Change
 		}
--- a/internal/mesh/news_test.go
+++ b/internal/mesh/news_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -11,19 +12,27 @@
 // Guards against two nodes that start together and never learn of each other, and
 // against n² messages when all start.
 func TestNodesThatFindThisOneAreNotTold(t *testing.T) {
+	const ms = time.Millisecond
 	for name, c := range map[string]struct {
-		first, position, change uint64
-		want                    bool
+		first            Written
+		position, change uint64
+		clock            time.Duration
+		want             bool
 	}{
-		"wrote after this node":                    {5, 6, 1, true},
-		"wrote before this node":                   {5, 4, 1, false},
-		"wrote again, so read the list earlier":    {5, 6, 2, false},
-		"position of this node not known":          {0, 6, 1, false},
-		"entry of an earlier life, written before": {5, 3, 7, false},
+		"wrote after this node":                    {Written{Position: 5}, 6, 1, 0, true},
+		"wrote before this node":                   {Written{Position: 5}, 4, 1, 0, false},
+		"wrote again, so read the list earlier":    {Written{Position: 5}, 6, 2, 0, false},
+		"position of this node not known":          {Written{}, 6, 1, 0, false},
+		"entry of an earlier life, written before": {Written{Position: 5}, 3, 7, 0, false},
+		"wrote before, but pauses":                 {Written{5, 3000 * ms}, 4, 1, 2500 * ms, true},
+		"wrote again while it pauses":              {Written{5, 3000 * ms}, 6, 2, 2500 * ms, true},
+		"its pause was over":                       {Written{5, 3000 * ms}, 4, 1, 1900 * ms, false},
+		"clock of this node not known":             {Written{Position: 5}, 4, 1, 2500 * ms, false},
+		"did not start with the whole system":      {Written{5, 500 * ms}, 4, 1, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := &announcer{first: c.first}
-			m := Member{Entry: roster.Entry{Node: "n1", Change: c.change}, Position: c.position}
+			m := Member{Entry: roster.Entry{Node: "n1", Change: c.change, Clock: c.clock}, Position: c.position}
 			assert.Equal(t, a.aware([]Member{m})["n1"], c.want)
 		})
 	}
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -20,8 +20,8 @@
 type Registry interface {
 	// Members returns the entries of all nodes.
 	Members(ctx context.Context) ([]Member, error)
-	// Publish replaces the entry of this node and returns its position.
-	Publish(ctx context.Context, e roster.Entry) (position uint64, err error)
+	// Publish replaces the entry of this node.
+	Publish(ctx context.Context, e roster.Entry) (Written, error)
 	// Withdraw removes the entry of a node unless it has changed.
 	Withdraw(ctx context.Context, e roster.Entry) error
 	// Configuration returns the newest configuration and its raw form.
@@ -39,6 +39,15 @@
 	Position uint64
 }
 
+// Written tells where and when an entry was written.
+type Written struct {
+	// Position is zero where it is not known.
+	Position uint64
+	// Clock is the registry's steady clock after the write; zero where it is not
+	// known.
+	Clock time.Duration
+}
+
 // Versioned is a configuration as it was read.
 type Versioned struct {
 	// Document is nil when there is no valid configuration.
@@ -46,6 +55,8 @@
 	Raw      []byte
 	// Position is where to wait for the next change.
 	Position uint64
+	// Clock is the registry's steady clock at the answer; zero where it is not known.
+	Clock time.Duration
 }
 
 // Bounds are the limits that the platform sets.
--- a/pkg/roster/entry.go
+++ b/pkg/roster/entry.go
@@ -43,6 +43,10 @@
 	State  State  `msgpack:"t,omitempty"`
 	// Limit is the concurrency that the node found best; it outlasts a restart here.
 	Limit int `msgpack:"m,omitempty"`
+	// Clock is the registry's steady clock, seen before the first entry of this
+	// process was written, of a process that starts with the whole system. Such a
+	// process reads the list of nodes only a pause after that. Zero otherwise.
+	Clock time.Duration `msgpack:"k,omitempty"`
 	// Warm is the time that the server needed, at the time of the change, until it
 	// is as fast as usual.
 	Warm time.Duration `msgpack:"w,omitempty"`
