--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
@@ -101,7 +102,12 @@
 
 // begin starts the request. A suspect waits until no other suspect runs here.
 func (c *crashWatch) begin(ctx context.Context, r call.Request, mark quarantine.Fingerprint) (quarantine.Start, error) {
-	start, ok := c.table.Await(ctx, mark)
+	var start quarantine.Start
+	var ok bool
+	clock.Poll(ctx, quarantine.SuspectPause, func() bool {
+		start, ok = c.table.Begin(mark, time.Now())
+		return ok || start.Verdict == quarantine.Refuse
+	})
 	switch {
 	case ok:
 		c.count(r.From, 1)
--- a/internal/mesh/crash_watch.go
+++ b/internal/mesh/crash_watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/backend"
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
 )
@@ -24,6 +25,10 @@
 	if c.table.Check(mark, time.Now()) != quarantine.Refuse {
 		return nil
 	}
+	return c.refusal(r, mark)
+}
+
+func (c *crashWatch) refusal(r call.Request, mark quarantine.Fingerprint) *fault.Error {
 	c.Log.WithField("id", r.ID).WithField("content", mark.String()).Warn("request refused: its content crashed backend servers")
 	return fault.New(fault.KindQuarantined, "requests with the content of %s crashed two backend servers", r.ID)
 }
@@ -41,13 +46,16 @@
 		}
 		ctx, cancel := context.WithDeadline(ctx, r.Due())
 		defer cancel()
-		start, ok = c.table.Await(ctx, mark)
+		clock.Poll(ctx, quarantine.SuspectPause, func() bool {
+			start, ok = c.table.Begin(mark, time.Now())
+			return ok || start.Verdict == quarantine.Refuse
+		})
 	}
 	switch {
 	case ok:
 		return start, nil
 	case start.Verdict == quarantine.Refuse:
-		return start, c.check(r, mark)
+		return start, c.refusal(r, mark)
 	default:
 		return start, overloaded(0)
 	}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -106,8 +106,8 @@
 // Crash ends all that is running, because the local server crashed under the
 // request s, and returns the incident to send to the other nodes before any
 // failure is reported to a caller. Requests that the server has answered before
-// are not in it. ok is false if another request of that crash
-// was first: what runs now was started later and had no part in it.
+// are not in it. ok is false if another request of that crash was first: what runs
+// now was started later and had no part in it.
 func (t *Table) Crash(server string, s Start, now time.Time) (i Incident, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/slots/gate.go
+++ b/pkg/slots/gate.go
@@ -15,8 +15,9 @@
 // trip. The last server that a sender may ask keeps the request in line if its
 // objective can still be met, or if only the spell is in its way: a run that begins
 // in a spell takes five times as long and keeps its slot from four others. What has
-// to wait for a slot and would be late is turned away at once. A request does not begin on a figure older than a few milliseconds: it asks
-// the server first, which costs less than one request in fifteen that is late.
+// to wait for a slot and would be late is turned away at once. A request does not
+// begin on a figure older than a few milliseconds: it asks the server first, which
+// costs less than one request in fifteen that is late.
 //
 // The zero value has no slots and hands everything back. Gate is not safe for
 // concurrent use.
