Log requests that fail before a server is looked for

Cause: a request without a route, with malformed or too large input, or to a node without a configuration got its error, but no line; its id led nowhere.

Change: caller.Server.Rejected is called for input that never gets to the node, and the node logs "request failed" for it and for its own two early errors, with id, kind, status and cause.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -32,6 +32,9 @@
 	Dialect Dialect
 	// Observer may be nil.
 	Observer Observer
+	// Rejected is called for input that never gets to Calls, with an ID where there is
+	// one; it may be nil.
+	Rejected func(id string, f *fault.Error)
 }
 
 // Dialect is the set of headers that one kind of caller uses.
@@ -56,17 +59,30 @@
 }
 
 func (s *Server) badRequest(err error) *http.Response {
+	f := classify(err)
+	s.reject("", f)
+	return s.respondFault(f, "")
+}
+
+// classify types the error of input that is no request.
+func classify(err error) *fault.Error {
 	switch {
 	case errors.Is(err, nbhttp.ErrTooLong):
-		return s.respondFault(fault.New(fault.KindTooLarge, "the body is over the limit"), "")
+		return fault.New(fault.KindTooLarge, "the body is over the limit")
 	case errors.Is(err, http1.ErrHeaderTooLarge):
-		return s.respondFault(fault.New(fault.KindHeaderTooLarge, "%v", err), "")
+		return fault.New(fault.KindHeaderTooLarge, "%v", err)
 	case errors.Is(err, http1.ErrHeaderTooSlow):
-		return s.respondFault(fault.New(fault.KindHeaderTooSlow, "%v", err), "")
+		return fault.New(fault.KindHeaderTooSlow, "%v", err)
 	case errors.Is(err, http1.ErrNoMemory):
-		return s.respondFault(fault.New(fault.KindOverloaded, "%v", err), "")
+		return fault.New(fault.KindOverloaded, "%v", err)
 	default:
-		return s.respondFault(fault.New(fault.KindBadRequest, "malformed HTTP: %v", err), "")
+		return fault.New(fault.KindBadRequest, "malformed HTTP: %v", err)
+	}
+}
+
+func (s *Server) reject(id string, f *fault.Error) {
+	if s.Rejected != nil {
+		s.Rejected(id, f)
 	}
 }
 
@@ -76,6 +92,7 @@
 	if err != nil {
 		f := fault.As(err)
 		s.observe(r, f.Status, f, start)
+		s.reject(r.ID, f)
 		return s.respondFault(f, r.ID)
 	}
 	cancel := context.CancelFunc(func() {})
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -112,6 +112,7 @@
 	n.callers.Calls, n.callers.Dialect = n, o.Dialect
 	n.bodies.Max = o.Bodies
 	n.callers.Memory = &n.bodies
+	n.callers.Rejected = func(id string, err *fault.Error) { _ = n.rejected(id, err) }
 }
 
 // Ready reports whether callers should come to this node.
@@ -130,12 +131,12 @@
 func (n *Node) Serve(ctx context.Context, r call.Request) (*call.Answer, error) {
 	table := n.follower.table.Load()
 	if table == nil {
-		return nil, fault.New(fault.KindStopped, "node %s has no configuration yet", n.Node()).WithWait(joinRetry)
+		return nil, n.rejected(r.ID, fault.New(fault.KindStopped, "node %s has no configuration yet", n.Node()).WithWait(joinRetry))
 	}
 	now := time.Now()
 	rt, service, ok := table.Find(r.Host, pathOf(r.URI))
 	if !ok {
-		return nil, fault.New(fault.KindNotFound, "no route for host %q and path %.80q", r.Host, r.URI)
+		return nil, n.rejected(r.ID, fault.New(fault.KindNotFound, "no route for host %q and path %.80q in version %d", r.Host, r.URI, table.Document.Version))
 	}
 	d := dispatch{entry: &n.entry, request: n.entry.prepare(r, rt, service, now), attempts: rt.Attempts}
 	ctx, cancel := context.WithDeadline(ctx, d.request.Deadline)
@@ -153,6 +154,13 @@
 	return answer, nil
 }
 
+// rejected logs a request that no server was looked for, and returns the error.
+func (n *Node) rejected(id string, err *fault.Error) *fault.Error {
+	n.Log.WithField("id", id).WithField("kind", string(err.Kind)).WithField("status", err.Status).
+		WithField("outcome", err.Outcome.String()).WithField("wait", err.Wait).WithField("cause", err.Detail).Warn("request failed")
+	return err
+}
+
 func pathOf(uri string) string {
 	for i := range len(uri) {
 		if uri[i] == '?' {
