Keep a late heartbeat from bringing back a server that has left

A node that restarts finds its server by a probe, which does not tell when the server started, and a farewell does not either. A heartbeat from before the farewell came 2.2 s after it and counted as that of a new start, so requests went to a server that had left.

Change: where nothing told the start, the time of the farewell stands for it: a report under the same name has to be of a process that started later. A start that the farewell tells is kept.

Result: TestLateReportAfterLeaving, nine cases, of which the two with an unknown start or an older server failed before.

--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "github.com/vanillasail/vanillasail/pkg/roster"
+import (
+	"time"
+
+	"github.com/vanillasail/vanillasail/pkg/roster"
+)
 
 func (f *far) found(id string, healthy bool) {
 	f.mu.Lock()
@@ -54,7 +58,7 @@
 // left is called when a server says that it is gone.
 func (f *far) left(id string, born int64) {
 	f.mu.Lock()
-	known := f.server.Leave(id, born)
+	known := f.server.Leave(id, born, time.Now())
 	if known {
 		f.gate.SetClosed(true)
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -111,9 +111,40 @@
 
 // Guards against a farewell of an earlier server that takes its successor out.
 func TestLeaveNamesTheServer(t *testing.T) {
-	s := Server{Report{ID: "j", Born: 9, State: Ready}}
-	assert.Assert(t, !s.Leave("i", 0))
-	assert.Assert(t, !s.Leave("j", 5))
-	assert.Assert(t, s.Leave("j", 9))
+	s := Server{Report: Report{ID: "j", Born: 9, State: Ready}}
+	assert.Assert(t, !s.Leave("i", 0, time.Time{}))
+	assert.Assert(t, !s.Leave("j", 5, time.Time{}))
+	assert.Assert(t, s.Leave("j", 9, time.Time{}))
 	assert.Equal(t, s.State, Gone)
 }
+
+// Guards against a server that is taken back into service by a heartbeat which was
+// under way when it left, where its node had found it without knowing its start.
+func TestLateReportAfterLeaving(t *testing.T) {
+	for name, c := range map[string]struct {
+		found, late Report
+		// born is what the farewell told of the start; it may tell nothing.
+		born  int64
+		stale bool
+	}{
+		"found by a probe":         {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 7, Seq: 15}, 7, true},
+		"known by a heartbeat":     {Report{ID: "a", State: Ready, Born: 7, Seq: 16}, Report{ID: "a", State: Ready, Born: 7, Seq: 17}, 7, true},
+		"started again since":      {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 8, Seq: 1}, 7, false},
+		"of the one before it":     {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 6, Seq: 40}, 7, true},
+		"another one in its place": {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 9, Seq: 1}, 7, false},
+		"start never told":         {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 999, Seq: 15}, 0, true},
+		"never told, known":        {Report{ID: "a", State: Ready, Born: 7, Seq: 16}, Report{ID: "a", State: Ready, Born: 7, Seq: 17}, 0, true},
+		"never told, starts again": {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 1001, Seq: 1}, 0, false},
+		"never told, another one":  {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 999, Seq: 1}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Server
+			_, stale := s.Take(c.found)
+			assert.Assert(t, !stale)
+			assert.Assert(t, s.Leave("a", c.born, time.UnixMilli(1000)))
+			_, stale = s.Take(c.late)
+			assert.Equal(t, stale, c.stale)
+			assert.Equal(t, s.State == Gone, c.stale)
+		})
+	}
+}
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -20,6 +20,9 @@
 // zero value knows no server.
 type Server struct {
 	Report
+	// left is when the server said that it was gone, in Unix milliseconds, where
+	// nothing told when it had started; zero otherwise.
+	left int64
 }
 
 // Take applies a report and reports whether it changed what other nodes need to
@@ -29,11 +32,14 @@
 		return false, true
 	}
 	old := s.Report
-	s.Report = r
+	s.Report, s.left = r, 0
 	return old.ID != r.ID || old.State != r.State || old.Slots != r.Slots || old.Born != 0 && old.Born != r.Born, false
 }
 
 func (s *Server) older(r Report) bool {
+	if s.left != 0 && r.ID == s.ID {
+		return r.Born <= s.left
+	}
 	if r.Born != s.Born && r.Born != 0 && s.Born != 0 {
 		return r.Born < s.Born
 	}
@@ -45,10 +51,18 @@
 
 // Leave marks the server as gone. It reports false for a server that is not the
 // present one.
-func (s *Server) Leave(id string, born int64) bool {
+func (s *Server) Leave(id string, born int64, now time.Time) bool {
 	if id != s.ID || born != 0 && s.Born != 0 && born != s.Born {
 		return false
 	}
 	s.State = Gone
+	if s.Born == 0 {
+		s.Born = born
+	}
+	if s.Born == 0 {
+		// A heartbeat that is still under way must not bring it back: one that starts
+		// again is born later.
+		s.left = now.UnixMilli()
+	}
 	return true
 }
