End the doubt about a server that left after the clock was ahead

A farewell without a known start is dated by the host's clock, and reports of processes born before it count as late. With a clock that was ahead then, a server that starts again under its name would be taken for late for as long as it lives.

Change: a report counts as late for 30 s after the farewell at most, by the monotonic clock; heartbeats come seconds late.

Result: the case "never told, clock was ahead" of TestLateReportAfterLeaving failed before and passes with the other nine.

--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -36,7 +36,7 @@
 func (f *far) report(r roster.Report) bool {
 	f.mu.Lock()
 	old := f.server
-	changed, stale := f.server.Take(r)
+	changed, stale := f.server.Take(r, time.Now())
 	if stale {
 		f.mu.Unlock()
 		return false
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -102,8 +102,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s Server
-			s.Take(c.first)
-			_, stale := s.Take(c.second)
+			s.Take(c.first, time.Time{})
+			_, stale := s.Take(c.second, time.Time{})
 			assert.Equal(t, stale, c.stale)
 		})
 	}
@@ -124,25 +124,28 @@
 	for name, c := range map[string]struct {
 		found, late Report
 		// born is what the farewell told of the start; it may tell nothing.
-		born  int64
+		born int64
+		// after is the time from the farewell to the report.
+		after time.Duration
 		stale bool
 	}{
-		"found by a probe":         {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 7, Seq: 15}, 7, true},
-		"known by a heartbeat":     {Report{ID: "a", State: Ready, Born: 7, Seq: 16}, Report{ID: "a", State: Ready, Born: 7, Seq: 17}, 7, true},
-		"started again since":      {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 8, Seq: 1}, 7, false},
-		"of the one before it":     {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 6, Seq: 40}, 7, true},
-		"another one in its place": {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 9, Seq: 1}, 7, false},
-		"start never told":         {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 999, Seq: 15}, 0, true},
-		"never told, known":        {Report{ID: "a", State: Ready, Born: 7, Seq: 16}, Report{ID: "a", State: Ready, Born: 7, Seq: 17}, 0, true},
-		"never told, starts again": {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 1001, Seq: 1}, 0, false},
-		"never told, another one":  {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 999, Seq: 1}, 0, false},
+		"found by a probe":            {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 7, Seq: 15}, 7, 2 * time.Second, true},
+		"known by a heartbeat":        {Report{ID: "a", State: Ready, Born: 7, Seq: 16}, Report{ID: "a", State: Ready, Born: 7, Seq: 17}, 7, 2 * time.Second, true},
+		"started again since":         {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 8, Seq: 1}, 7, 2 * time.Second, false},
+		"of the one before it":        {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 6, Seq: 40}, 7, 2 * time.Second, true},
+		"another one in its place":    {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 9, Seq: 1}, 7, 2 * time.Second, false},
+		"start never told":            {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 999, Seq: 15}, 0, 2 * time.Second, true},
+		"never told, known":           {Report{ID: "a", State: Ready, Born: 7, Seq: 16}, Report{ID: "a", State: Ready, Born: 7, Seq: 17}, 0, 2 * time.Second, true},
+		"never told, starts again":    {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 1001, Seq: 1}, 0, 2 * time.Second, false},
+		"never told, another one":     {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 999, Seq: 1}, 0, 2 * time.Second, false},
+		"never told, clock was ahead": {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 999, Seq: 40}, 0, lateReport, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s Server
-			_, stale := s.Take(c.found)
+			_, stale := s.Take(c.found, time.UnixMilli(900))
 			assert.Assert(t, !stale)
 			assert.Assert(t, s.Leave("a", c.born, time.UnixMilli(1000)))
-			_, stale = s.Take(c.late)
+			_, stale = s.Take(c.late, time.UnixMilli(1000).Add(c.after))
 			assert.Equal(t, stale, c.stale)
 			assert.Equal(t, s.State == Gone, c.stale)
 		})
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -20,25 +20,28 @@
 // zero value knows no server.
 type Server struct {
 	Report
-	// left is when the server said that it was gone, in Unix milliseconds, where
-	// nothing told when it had started; zero otherwise.
-	left int64
+	// left is when the server said that it was gone, where nothing told when it had
+	// started; zero otherwise.
+	left time.Time
 }
 
+// lateReport is how late a report may arrive; heartbeats come seconds late.
+const lateReport = 30 * time.Second
+
 // Take applies a report and reports whether it changed what other nodes need to
 // know; stale is set when the report is older than what is known.
-func (s *Server) Take(r Report) (changed, stale bool) {
-	if s.ID != "" && s.older(r) {
+func (s *Server) Take(r Report, now time.Time) (changed, stale bool) {
+	if s.ID != "" && s.older(r, now) {
 		return false, true
 	}
 	old := s.Report
-	s.Report, s.left = r, 0
+	s.Report, s.left = r, time.Time{}
 	return old.ID != r.ID || old.State != r.State || old.Slots != r.Slots || old.Born != 0 && old.Born != r.Born, false
 }
 
-func (s *Server) older(r Report) bool {
-	if s.left != 0 && r.ID == s.ID {
-		return r.Born <= s.left
+func (s *Server) older(r Report, now time.Time) bool {
+	if !s.left.IsZero() && r.ID == s.ID {
+		return r.Born <= s.left.UnixMilli() && now.Sub(s.left) < lateReport
 	}
 	if r.Born != s.Born && r.Born != 0 && s.Born != 0 {
 		return r.Born < s.Born
@@ -60,9 +63,9 @@
 		s.Born = born
 	}
 	if s.Born == 0 {
-		// A heartbeat that is still under way must not bring it back: one that starts
-		// again is born later.
-		s.left = now.UnixMilli()
+		// A heartbeat that is still under way must not bring it back. One that starts
+		// again is born later, unless the clock of this host was ahead at the farewell.
+		s.left = now
 	}
 	return true
 }
