Share what the emulator and the node both decide by

Cause: the emulator had its own copies of the node's rates of probes, of the interval at which limits are pooled and of the spread of Retry-After. The spread also stood beside the sending, without a test.

Change: slots.ProbeInterval, ProbeRate, ProbeBurst and PoolInterval; retry.Spread and LeastWait with the load pattern they answer. No change of a figure.

Result: TestSpread, TestSpreadCallersComeBackApart (1,000 callers at one moment become 10 a millisecond at most); tests of internal/mesh and internal/pacing pass.

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 )
 
 // dispatch is the way of one request to a server, over all sends.
@@ -175,7 +175,7 @@
 		err = fault.New(fault.KindServerLost, "%s", err.Detail)
 	}
 	if !d.ran && err.Outcome == fault.Refused && err.Kind != fault.KindDeadline && err.Kind != fault.KindQuarantined {
-		err = overloaded(spread(err.Wait)).WithOutcome(fault.Refused)
+		err = overloaded(retry.Spread(err.Wait, nil)).WithOutcome(fault.Refused)
 		if d.last != nil {
 			err.Detail = d.last.Detail
 		}
@@ -184,12 +184,6 @@
 	return nil, err
 }
 
-// spread makes callers that were turned away together come back apart.
-func spread(wait time.Duration) time.Duration {
-	wait = max(wait, minRetryAfter)
-	return wait + time.Duration(rand.Int64N(int64(wait)))
-}
-
 // note logs a send: what decided it, how old that was, and what came of it. The
 // figures of the server after it tell whether the decision was right.
 func (d *dispatch) note(choice placement.Choice, last bool, out outcome) {
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -20,9 +20,6 @@
 const (
 	// maxSends bounds the sends of one request to nodes, whatever comes back.
 	maxSends = 12
-	// minRetryAfter is the shortest time after which a refused caller may come
-	// back; less would return before anything has changed.
-	minRetryAfter = 50 * time.Millisecond
 	// rerunShare is the part of the platform's bound on second sends up to which a
 	// request that may have run is sent again: the calls that a second run makes count
 	// again at the services called, which has to hold for two calls a run with as much
--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
 )
@@ -148,7 +149,7 @@
 			down = true
 			f.setDown(true)
 			f.outage(ctx)
-			clock.Sleep(ctx, spread(wait))
+			clock.Sleep(ctx, retry.Spread(wait, nil))
 			wait = min(2*wait, followMost)
 			continue
 		}
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/clock"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
@@ -46,7 +47,7 @@
 			break
 		}
 		n.Log.WithError(err).Warn("list of nodes not read")
-		clock.Sleep(n.running, spread(joinRetry))
+		clock.Sleep(n.running, retry.Spread(joinRetry, nil))
 	}
 	entries := make([]roster.Entry, len(members))
 	for i, m := range members {
--- a/internal/mesh/news.go
+++ b/internal/mesh/news.go
@@ -10,6 +10,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
@@ -287,7 +288,7 @@
 		a.mu.Unlock()
 		if err != nil {
 			a.Log.WithError(err).WithField("change", own.Change).Warn("own entry not written")
-			clock.Sleep(ctx, spread(wait))
+			clock.Sleep(ctx, retry.Spread(wait, nil))
 			wait = min(2*wait, publishMost)
 		}
 	}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -19,6 +19,7 @@
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
+	"github.com/vanillasail/vanillasail/pkg/slots"
 )
 
 // Node is one process of the system, beside one backend server.
@@ -50,10 +51,8 @@
 	// tickInterval is how often closed caller connections are looked for; a request
 	// whose caller left may go on for half a second.
 	tickInterval = 100 * time.Millisecond
-	// poolInterval is how often what other nodes learned of their servers is taken
-	// over, and toldInterval how often one of them is told; an overload lasts for
-	// seconds.
-	poolInterval = time.Second
+	// toldInterval is how often a node is told of what this one learned of its server;
+	// an overload lasts for seconds.
 	toldInterval = 4 * time.Second
 	// spreadTo is how many nodes are told of a new version; with three, one of
 	// twenty that the registry misses is missed here too, and asks after its next
@@ -96,8 +95,8 @@
 	n.directory.Options = o
 	n.far.Options, n.far.changed = o, n.serverChanged
 	n.far.crash.Options, n.far.crash.tell = o, n.tellOfCrash
-	n.far.probes.SetLimit(probeRate)
-	n.far.probes.SetBurst(probeBurst)
+	n.far.probes.SetLimit(slots.ProbeRate)
+	n.far.probes.SetBurst(slots.ProbeBurst)
 	n.far.pool.Names, n.far.pool.Observe = o.Names, n.far.observe
 	n.entry = entry{Options: o, directory: &n.directory, far: &n.far, peers: &n.peers, version: n.follower.version, seen: n.seenVersion}
 	n.follower.Options, n.follower.applied, n.follower.outage = o, n.applied, n.askPeer
@@ -314,7 +313,7 @@
 	for {
 		select {
 		case now := <-tick.C:
-			if now.Sub(pooled) >= poolInterval {
+			if now.Sub(pooled) >= slots.PoolInterval {
 				pooled = now
 				n.far.learnFrom(n.directory.summaries())
 			}
--- a/internal/mesh/probe.go
+++ b/internal/mesh/probe.go
@@ -3,22 +3,17 @@
 import (
 	"context"
 	"time"
+
+	"github.com/vanillasail/vanillasail/pkg/slots"
 )
 
 const (
-	// probeInterval is how often the pace is asked while requests come and no
-	// answer has told it; spells of slowness last about 150 ms.
-	probeInterval = 40 * time.Millisecond
 	// probeWhile is how long after the last request probes go on.
 	probeWhile = 300 * time.Millisecond
 	// probeTimeout bounds a probe; a healthy server answers within 10 ms.
 	probeTimeout = 500 * time.Millisecond
 	// lookPatience is how long a request waits for the pace before it begins without.
 	lookPatience = 15 * time.Millisecond
-	// probeRate bounds the probes of a server a second, and probeBurst those at once;
-	// the platform allows 60 a second.
-	probeRate  = 45
-	probeBurst = 10
 	// findInterval is how often a server that is not known or lost is looked for.
 	findInterval = 250 * time.Millisecond
 )
@@ -28,7 +23,7 @@
 	f.asked = now
 	if !f.probing && !f.untold && f.server.ID != "" && f.health != "" {
 		f.probing = true
-		time.AfterFunc(probeInterval, f.look)
+		time.AfterFunc(slots.ProbeInterval, f.look)
 	}
 }
 
@@ -43,7 +38,7 @@
 	age := f.gate.Pace.Age(now)
 	waiting := f.gate.Waiting() > 0
 	f.mu.Unlock()
-	interval := probeInterval
+	interval := slots.ProbeInterval
 	if waiting {
 		interval /= 2
 	}
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -7,6 +7,7 @@
 	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
@@ -52,7 +53,7 @@
 			return
 		}
 	}
-	clock.Sleep(ctx, spread(relayPause))
+	clock.Sleep(ctx, retry.Spread(relayPause, nil))
 }
 
 // relay answers a node that follows this one: when there is a version after the
--- a/internal/mesh/reserve.go
+++ b/internal/mesh/reserve.go
@@ -53,7 +53,7 @@
 		if begun {
 			return
 		}
-		clock.Sleep(ctx, probeInterval/2)
+		clock.Sleep(ctx, slots.ProbeInterval/2)
 	}
 }
 
--- a/internal/pacing/gated.go
+++ b/internal/pacing/gated.go
@@ -7,21 +7,10 @@
 	"golang.org/x/time/rate"
 
 	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/slots"
 )
 
-const (
-	// probeRate and probeBurst bound the probes of a server, and probeInterval is how
-	// often one is sent while requests come, as in a node.
-	probeRate     = 45
-	probeBurst    = 10
-	probeInterval = 40 * time.Millisecond
-	// poolInterval is how often limits are learned from each other.
-	poolInterval = time.Second
-	// leastWait is the shortest Retry-After.
-	leastWait = 50 * time.Millisecond
-)
-
 // gated is the product: placement.Search at the entries and a slots.Gate beside
 // each server.
 type gated struct {
@@ -48,7 +37,7 @@
 	}
 	for s := range w.servers {
 		g.gates[s].Limit.SetSlots(w.Pattern.Slots)
-		g.probing[s] = rate.NewLimiter(probeRate, probeBurst)
+		g.probing[s] = rate.NewLimiter(slots.ProbeRate, slots.ProbeBurst)
 	}
 	for entry := range w.servers {
 		view := make([]placement.Server, n)
@@ -89,7 +78,7 @@
 	entry := g.requests[r].entry
 	choice, last, ok := g.searches[r].Next(&g.costs, g.known(entry), g.wanted(r), g.time(g.now))
 	if !ok {
-		g.refuse(r, leastWait)
+		g.refuse(r, retry.LeastWait)
 		return
 	}
 	s, _ := strconv.Atoi(choice.Server.ID)
@@ -191,8 +180,7 @@
 		g.next(r)
 		return
 	}
-	wait := max(t.wait, leastWait)
-	g.refuse(r, wait+time.Duration(g.choices.Int64N(int64(wait))))
+	g.refuse(r, retry.Spread(t.wait, g.choices.Int64N))
 }
 
 func (g *gated) observe(entry, s int, t told) {
@@ -208,14 +196,14 @@
 	now := g.time(g.now)
 	for s := range g.gates {
 		gate := &g.gates[s]
-		if g.fresh && gate.Running() > 0 && gate.Pace.Age(now) >= probeInterval && g.now-g.probed[s] >= probeInterval {
+		if g.fresh && gate.Running() > 0 && gate.Pace.Age(now) >= slots.ProbeInterval && g.now-g.probed[s] >= slots.ProbeInterval {
 			g.probe(s)
 		}
 		if gate.Waiting() > 0 {
 			gate.Tick(now)
 		}
 	}
-	if g.now%poolInterval == 0 {
+	if g.now%slots.PoolInterval == 0 {
 		g.pool()
 	}
 }
--- /dev/null
+++ b/pkg/retry/spread_test.go
@@ -0,0 +1,50 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against callers that come back too early to find a change, or much later
+// than there is room.
+func TestSpread(t *testing.T) {
+	for name, c := range map[string]struct {
+		wait, least, most time.Duration
+	}{
+		"no wait known": {0, LeastWait, 2 * LeastWait},
+		"short":         {time.Millisecond, LeastWait, 2 * LeastWait},
+		"long":          {time.Second, time.Second, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, Spread(c.wait, func(int64) int64 { return 0 }), c.least)
+			assert.Equal(t, Spread(c.wait, func(n int64) int64 { return n - 1 }), c.most-1)
+			got := Spread(c.wait, nil)
+			assert.Assert(t, got >= c.least && got < c.most, "%s", got)
+		})
+	}
+}
+
+// Guards against a wave: replays 1,000 callers that are turned away at once and come
+// back to a service which takes 10 a millisecond.
+func TestSpreadCallersComeBackApart(t *testing.T) {
+	most := func(spread func() time.Duration) (most int) {
+		arrivals := make(map[time.Duration]int)
+		for range 1000 {
+			arrivals[spread()/time.Millisecond]++
+		}
+		for _, n := range arrivals {
+			most = max(most, n)
+		}
+		return most
+	}
+	const wait = 200 * time.Millisecond
+	next := int64(0)
+	even := func(n int64) int64 {
+		next = (next + 618_033_989) % n // a step that fills the range evenly
+		return next
+	}
+	assert.Equal(t, most(func() time.Duration { return wait }), 1000)
+	assert.Assert(t, most(func() time.Duration { return Spread(wait, even) }) <= 10)
+}
--- a/pkg/slots/limit.go
+++ b/pkg/slots/limit.go
@@ -1,5 +1,7 @@
 package slots
 
+import "time"
+
 // Limit finds the concurrency at which a server does most work. Some servers
 // slow down when nearly all of their slots are busy, so that the last slots
 // cost more than they give; others do not, and a limit would waste slots.
@@ -17,6 +19,10 @@
 	knee, others knee
 }
 
+// PoolInterval is how often SetOthers should be called; an overload lasts for
+// seconds.
+const PoolInterval = time.Second
+
 // SetSlots sets the number of slots that the server names.
 func (l *Limit) SetSlots(n int) {
 	if n == l.slots || n <= 0 {
--- a/pkg/slots/pace.go
+++ b/pkg/slots/pace.go
@@ -17,6 +17,13 @@
 }
 
 const (
+	// ProbeInterval is how often the pace is asked while requests come and no answer
+	// has told it; spells of slowness last about 150 ms.
+	ProbeInterval = 40 * time.Millisecond
+	// ProbeRate bounds the probes of a server a second, and ProbeBurst those at once;
+	// the platform allows 60 a second.
+	ProbeRate  = 45
+	ProbeBurst = 10
 	// paceFresh is how long a pace is believed. Slow spells last about 150 ms,
 	// and a spell is in its middle on average when it is seen.
 	paceFresh = 100 * time.Millisecond
