Take out what was written twice

Cause: found while reading the change as a whole. The wait of a suspect and the text of its refusal stood in both assemblies, the drawing of curves and SVG in three packages, and pkg/slots/gate_test.go had 419 lines about two subjects.

Change: internal/crash for the first, internal/chart for the second; the tests about spells move to spell_test.go as they were. The plot of the emulator sorts by load without a comparison of its own.

Result: TestAwait (four cases on a fake clock); as many tests in pkg/slots as before; tests of the packages touched pass. No decision changes.

--- a/internal/causes/plot.go
+++ b/internal/causes/plot.go
@@ -3,13 +3,11 @@
 import (
 	"io"
 
-	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/vanillasail/vanillasail/internal/chart"
 )
 
 const (
@@ -29,18 +27,11 @@
 		for at := first; at <= last; at++ {
 			points = append(points, plotter.XY{X: float64(at - first), Y: float64(c.seconds[kind][at])})
 		}
-		line, err := plotter.NewLine(points)
-		if err != nil {
-			return eris.Wrap(err, "plot failures")
+		if err := chart.AddLine(p, kind, i, points); err != nil {
+			return err
 		}
-		line.Color = plotutil.Color(i)
-		p.Add(line)
-		p.Legend.Add(kind, line)
 	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	_, err := canvas.WriteTo(out)
-	return eris.Wrap(err, "write plot of failures")
+	return chart.WriteSVG(out, plotWidth, plotHeight, p)
 }
 
 // span returns the first and last second with a failure.
--- /dev/null
+++ b/internal/crash/await_test.go
@@ -0,0 +1,48 @@
+package crash
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
+)
+
+// Guards against a suspect that runs beside another one, waits for longer than that
+// one runs, or outlasts its caller; and against a refused one that waits.
+func TestAwait(t *testing.T) {
+	const suspect, other = quarantine.Fingerprint(1), quarantine.Fingerprint(2)
+	for name, c := range map[string]struct {
+		incidents []quarantine.Incident
+		// ends is when the other request ends, and patience how long the caller waits.
+		ends, patience time.Duration
+		took           time.Duration
+		ok             bool
+	}{
+		"no suspect":              {nil, time.Hour, time.Second, 0, true},
+		"waits for the other one": {[]quarantine.Incident{{ID: 1, Prints: quarantine.Prints{suspect, other}}}, 45 * time.Millisecond, time.Second, 50 * time.Millisecond, true},
+		"caller leaves":           {[]quarantine.Incident{{ID: 1, Prints: quarantine.Prints{suspect, other}}}, time.Hour, 25 * time.Millisecond, 25 * time.Millisecond, false},
+		"refused":                 {[]quarantine.Incident{{ID: 1, Prints: quarantine.Prints{suspect}, Lone: suspect}}, time.Hour, time.Second, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var table quarantine.Table
+				for _, i := range c.incidents {
+					table.Merge(i, time.Now())
+				}
+				running, ok := table.Begin(other, time.Now())
+				assert.Assert(t, ok)
+				time.AfterFunc(c.ends, func() { table.End(running, true, time.Now()) })
+				ctx, cancel := context.WithTimeout(t.Context(), c.patience)
+				defer cancel()
+				began := time.Now()
+				_, ok = Await(ctx, &table, suspect)
+				assert.Equal(t, ok, c.ok)
+				assert.Equal(t, time.Since(began), c.took)
+			})
+		})
+	}
+}
--- a/internal/daemon/crash_watch.go
+++ b/internal/daemon/crash_watch.go
@@ -9,7 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/internal/call"
-	"github.com/vanillasail/vanillasail/internal/clock"
+	"github.com/vanillasail/vanillasail/internal/crash"
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
@@ -70,15 +70,11 @@
 // check refuses a quarantined request before it waits for a slot.
 func (c *crashWatch) check(r call.Request, mark quarantine.Fingerprint) error {
 	if c.table.Check(mark, time.Now()) == quarantine.Refuse {
-		return c.refusal(r)
+		return crash.Refusal(r)
 	}
 	return nil
 }
 
-func (c *crashWatch) refusal(r call.Request) error {
-	return fault.New(fault.KindQuarantined, "requests with the content of %s crashed two backend servers", r.ID)
-}
-
 // suspect reports whether the request was in flight at a crash. A second copy
 // of it beside the first could crash a second server before either is known.
 func (c *crashWatch) suspect(r call.Request) bool {
@@ -102,18 +98,13 @@
 
 // begin starts the request. A suspect waits until no other suspect runs here.
 func (c *crashWatch) begin(ctx context.Context, r call.Request, mark quarantine.Fingerprint) (quarantine.Start, error) {
-	var start quarantine.Start
-	var ok bool
-	clock.Poll(ctx, quarantine.SuspectPause, func() bool {
-		start, ok = c.table.Begin(mark, time.Now())
-		return ok || start.Verdict == quarantine.Refuse
-	})
+	start, ok := crash.Await(ctx, &c.table, mark)
 	switch {
 	case ok:
 		c.count(r.From, 1)
 		return start, nil
 	case start.Verdict == quarantine.Refuse:
-		return start, c.refusal(r)
+		return start, crash.Refusal(r)
 	default:
 		return start, fault.New(fault.KindDeadline, "the request may run only without other suspects of a crash, and its deadline came first").
 			WithOutcome(fault.Refused)
--- a/internal/mesh/crash_watch.go
+++ b/internal/mesh/crash_watch.go
@@ -6,7 +6,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/backend"
 	"github.com/vanillasail/vanillasail/internal/call"
-	"github.com/vanillasail/vanillasail/internal/clock"
+	"github.com/vanillasail/vanillasail/internal/crash"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
 )
@@ -30,7 +30,7 @@
 
 func (c *crashWatch) refusal(r call.Request, mark quarantine.Fingerprint) *fault.Error {
 	c.Log.WithField("id", r.ID).WithField("content", mark.String()).Warn("request refused: its content crashed backend servers")
-	return fault.New(fault.KindQuarantined, "requests with the content of %s crashed two backend servers", r.ID)
+	return crash.Refusal(r)
 }
 
 // begin starts a request that has its slot. A suspect does not run beside
@@ -46,10 +46,7 @@
 		}
 		ctx, cancel := context.WithDeadline(ctx, r.Due())
 		defer cancel()
-		clock.Poll(ctx, quarantine.SuspectPause, func() bool {
-			start, ok = c.table.Begin(mark, time.Now())
-			return ok || start.Verdict == quarantine.Refuse
-		})
+		start, ok = crash.Await(ctx, &c.table, mark)
 	}
 	switch {
 	case ok:
--- a/internal/operator/report_plot.go
+++ b/internal/operator/report_plot.go
@@ -11,15 +11,14 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
+	"github.com/vanillasail/vanillasail/internal/chart"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
 const (
-	plotWidth  = 22 * vg.Centimeter
-	plotHeight = 30 * vg.Centimeter
+	plotWidth   = 22 * vg.Centimeter
+	panelHeight = 10 * vg.Centimeter
 	// plottedLabels bounds the curves, so that the plot stays legible.
 	plottedLabels = 6
 	barWidth      = 8 * vg.Millimeter
@@ -33,17 +32,15 @@
 // svg plots latency by quantile, measuring by link and refusals.
 func (c comparison) svg() ([]byte, error) {
 	panels := []func() (*plot.Plot, error){c.latencyPlot, c.linksPlot, c.refusalsPlot}
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	tiles := draw.Tiles{Rows: len(panels), Cols: 1, PadY: vg.Centimeter, PadTop: vg.Centimeter, PadBottom: vg.Centimeter, PadRight: vg.Centimeter}
+	plots := make([]*plot.Plot, len(panels))
 	for i, panel := range panels {
-		p, err := panel()
-		if err != nil {
+		var err error
+		if plots[i], err = panel(); err != nil {
 			return nil, fault.New(fault.KindInternal, "plot report: %v", err)
 		}
-		p.Draw(tiles.At(draw.New(canvas), 0, i))
 	}
 	var out bytes.Buffer
-	if _, err := canvas.WriteTo(&out); err != nil {
+	if err := chart.WriteSVG(&out, plotWidth, panelHeight, plots...); err != nil {
 		return nil, fault.New(fault.KindInternal, "write report plot: %v", err)
 	}
 	return out.Bytes(), nil
--- a/internal/pacing/plot.go
+++ b/internal/pacing/plot.go
@@ -2,15 +2,14 @@
 
 import (
 	"io"
+	"maps"
 	"slices"
 
-	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/vanillasail/vanillasail/internal/chart"
 )
 
 const (
@@ -33,17 +32,14 @@
 			panels = append(panels, p)
 		}
 	}
-	canvas := vgsvg.New(panelWidth, panelHeight*vg.Length(max(len(panels), 1)))
-	tiles := draw.Tiles{Rows: max(len(panels), 1), Cols: 1, PadY: vg.Centimeter, PadTop: vg.Centimeter, PadBottom: vg.Centimeter, PadRight: vg.Centimeter}
+	plots := make([]*plot.Plot, len(panels))
 	for i, p := range panels {
-		drawn, err := p.plot(results)
-		if err != nil {
-			return eris.Wrap(err, "plot results")
+		var err error
+		if plots[i], err = p.plot(results); err != nil {
+			return err
 		}
-		drawn.Draw(tiles.At(draw.New(canvas), 0, i))
 	}
-	_, err := canvas.WriteTo(out)
-	return eris.Wrap(err, "write plot")
+	return chart.WriteSVG(out, panelWidth, panelHeight, plots...)
 }
 
 func (p panel) plot(results []Result) (*plot.Plot, error) {
@@ -53,32 +49,31 @@
 	drawn.Y.Min, drawn.Y.Max = 0, 1
 	drawn.Legend.Left = true
 	for i, policy := range Policies() {
-		sums := make(map[float64][2]float64)
-		for _, r := range results {
-			if r.Policy == policy && p == (panel{r.Pattern, r.Case}) {
-				sums[r.Load] = [2]float64{sums[r.Load][0] + r.Credit, sums[r.Load][1] + 1}
-			}
-		}
-		var points plotter.XYs
-		for load, sum := range sums {
-			points = append(points, plotter.XY{X: load, Y: sum[0] / sum[1]})
-		}
+		points := p.points(policy, results)
 		if len(points) == 0 {
 			continue
 		}
-		slices.SortFunc(points, func(a, b plotter.XY) int {
-			if a.X < b.X {
-				return -1
-			}
-			return 1
-		})
-		line, err := plotter.NewLine(points)
-		if err != nil {
+		if err := chart.AddLine(drawn, policy, i, points); err != nil {
 			return nil, err
 		}
-		line.Color = plotutil.Color(i)
-		drawn.Add(line)
-		drawn.Legend.Add(policy, line)
 	}
 	return drawn, nil
 }
+
+// points returns the mean credit of a policy by load, the smallest load first.
+func (p panel) points(policy string, results []Result) (points plotter.XYs) {
+	credits := make(map[float64][]float64)
+	for _, r := range results {
+		if r.Policy == policy && p == (panel{r.Pattern, r.Case}) {
+			credits[r.Load] = append(credits[r.Load], r.Credit)
+		}
+	}
+	for _, load := range slices.Sorted(maps.Keys(credits)) {
+		sum := 0.0
+		for _, credit := range credits[load] {
+			sum += credit
+		}
+		points = append(points, plotter.XY{X: load, Y: sum / float64(len(credits[load]))})
+	}
+	return points
+}
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/verdict.go
@@ -19,9 +19,6 @@
 func (v Verdict) String() string { return [...]string{"run", "alone", "refuse"}[min(v, Refuse)] }
 
 const (
-	// SuspectPause is how often a suspect that has to wait should ask again whether it
-	// may run.
-	SuspectPause = 10 * time.Millisecond
 	// Suspicion ends after this time, so that an innocent request is delayed by
 	// at most as much.
 	Suspicion = 60 * time.Second
--- a/pkg/slots/pace.go
+++ b/pkg/slots/pace.go
@@ -20,9 +20,9 @@
 	// ProbeInterval is how often the pace is asked while requests come and no answer
 	// has told it; spells of slowness last about 150 ms.
 	ProbeInterval = 40 * time.Millisecond
-	// ProbeRate bounds the probes of a server a second, and ProbeBurst those at once;
-	// the platform allows 60 a second.
-	ProbeRate  = 45
+	// ProbeRate bounds the probes of a server a second; the platform allows 60.
+	ProbeRate = 45
+	// ProbeBurst bounds those at once.
 	ProbeBurst = 10
 	// paceFresh is how long a pace is believed. Slow spells last about 150 ms,
 	// and a spell is in its middle on average when it is seen.
