Keep a farewell that comes before the server is known

A node had just restarted and did not know its server when the server said farewell: the farewell was acknowledged and forgotten. Then a probe found the server, and a late heartbeat put it back into service. The same holds for a node that restarts after it has acknowledged that its server leaves.

Change: a farewell is kept for the server it names where none is known. The entry of a node tells whether the server itself has said that it leaves, and the next process of the node starts from that. A server that was only found ill is not meant.

--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -63,16 +63,22 @@
 	n.announcer.tellAll(n.running, n.announcer.aware(members))
 }
 
-// recall takes the limit on concurrency that was found before.
+// recall takes what an earlier process of this node knew: the limit on concurrency,
+// and that the server has said it leaves.
 func (n *Node) recall() {
 	if n.Fresh {
 		return
 	}
 	earlier, err := n.Registry.Members(n.running)
 	if err != nil {
-		n.Log.WithError(err).Warn("limits found before not read")
+		n.Log.WithError(err).Warn("entry of the earlier process not read")
 	}
 	n.far.suggest(suggestion(earlier, n.Node(), n.Service))
+	for _, e := range earlier {
+		if e.Node == n.Node() && e.Leaving {
+			n.far.left(e.Server, 0)
+		}
+	}
 }
 
 // suggestion returns the limit that this node found in an earlier life, or else
--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -88,6 +88,7 @@
 	defer f.mu.Unlock()
 	e.Limit = f.gate.Limit.Current()
 	e.Server, e.State, e.Slots, e.Warm = f.server.ID, f.server.State, f.gate.Limit.Slots(), f.server.Warm
+	e.Leaving = f.server.Leaving()
 	if e.Slots == 0 {
 		e.Slots = f.server.Slots
 	}
--- a/pkg/roster/entry.go
+++ b/pkg/roster/entry.go
@@ -41,6 +41,9 @@
 	Server string `msgpack:"i,omitempty"`
 	Slots  int    `msgpack:"l,omitempty"`
 	State  State  `msgpack:"t,omitempty"`
+	// Leaving is set when the server itself has said that it leaves or is gone. It
+	// binds the next process of this node too.
+	Leaving bool `msgpack:"g,omitempty"`
 	// Limit is the concurrency that the node found best; it outlasts a restart here.
 	Limit int `msgpack:"m,omitempty"`
 	// Clock is the registry's steady clock, seen before the first entry of this
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -136,16 +136,21 @@
 		"another one in its place":    {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 9, Seq: 1}, 7, 2 * time.Second, false},
 		"start never told":            {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 999, Seq: 15}, 0, 2 * time.Second, true},
 		"never told, known":           {Report{ID: "a", State: Ready, Born: 7, Seq: 16}, Report{ID: "a", State: Ready, Born: 7, Seq: 17}, 0, 2 * time.Second, true},
+		"farewell comes first":        {Report{}, Report{ID: "a", State: Ready, Born: 999, Seq: 15}, 0, 2 * time.Second, true},
+		"comes first, tells start":    {Report{}, Report{ID: "a", State: Ready, Born: 7, Seq: 15}, 7, 2 * time.Second, true},
+		"comes first, another one":    {Report{}, Report{ID: "b", State: Ready, Born: 999, Seq: 1}, 0, 2 * time.Second, false},
 		"never told, starts again":    {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 1001, Seq: 1}, 0, 2 * time.Second, false},
 		"never told, another one":     {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, Born: 999, Seq: 1}, 0, 2 * time.Second, false},
 		"never told, clock was ahead": {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, Born: 999, Seq: 40}, 0, lateReport, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s Server
-			_, stale := s.Take(c.found, time.UnixMilli(900))
-			assert.Assert(t, !stale)
+			if c.found.ID != "" {
+				_, stale := s.Take(c.found, time.UnixMilli(900))
+				assert.Assert(t, !stale)
+			}
 			assert.Assert(t, s.Leave("a", c.born, time.UnixMilli(1000)))
-			_, stale = s.Take(c.late, time.UnixMilli(1000).Add(c.after))
+			_, stale := s.Take(c.late, time.UnixMilli(1000).Add(c.after))
 			assert.Equal(t, stale, c.stale)
 			assert.Equal(t, s.State == Gone, c.stale)
 		})
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -23,6 +23,8 @@
 	// left is when the server said that it was gone, where nothing told when it had
 	// started; zero otherwise.
 	left time.Time
+	// leaving is set when the server itself has said that it leaves or is gone.
+	leaving bool
 }
 
 // lateReport is how late a report may arrive; heartbeats come seconds late.
@@ -35,7 +37,7 @@
 		return false, true
 	}
 	old := s.Report
-	s.Report, s.left = r, time.Time{}
+	s.Report, s.left, s.leaving = r, time.Time{}, r.State == Draining
 	return old.ID != r.ID || old.State != r.State || old.Slots != r.Slots || old.Born != 0 && old.Born != r.Born, false
 }
 
@@ -52,13 +54,21 @@
 	return r.Seq < s.Seq || s.State == Gone && r.State != Gone && r.Born == s.Born && s.Born != 0
 }
 
-// Leave marks the server as gone. It reports false for a server that is not the
-// present one.
+// Leaving reports whether the server itself has said that it leaves or is gone. A
+// server that was only found ill has not.
+func (s *Server) Leaving() bool { return s.leaving }
+
+// Leave marks the server as gone; where none is known yet, a farewell is kept for
+// the server that it names. It reports false for a server that is not the present
+// one.
 func (s *Server) Leave(id string, born int64, now time.Time) bool {
+	if s.ID == "" {
+		s.ID = id
+	}
 	if id != s.ID || born != 0 && s.Born != 0 && born != s.Born {
 		return false
 	}
-	s.State = Gone
+	s.State, s.leaving = Gone, true
 	if s.Born == 0 {
 		s.Born = born
 	}
