Run repeatable requests of one connection side by side, mend two faults of serving

Causes: - nbhttp calls the handlers of one connection one after another. Four requests of 300 ms that a caller wrote at once were answered after 0.3, 0.6, 0.9 and 1.2 s. - nbhttp sets the idle time-out of an accepted connection after its poller has begun to read, so that it may overwrite the one that the first request has cleared. A panic of a handler left its caller without one.

Change: a pipeline for each connection decides which requests may begin. Repeatable ones run beside each other; any other begins after all before it were answered and holds back those behind it. At a drain no further request begins and the connection closes behind the last that has. Idle time-outs are timers of this package. Listen returns when the poller runs; there is one poller instead of two, so that one connection proves it.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net/http"
 	"os"
@@ -36,31 +35,49 @@
 	// progress is signalled after bytes were passed to the kernel.
 	progress chan struct{}
 
-	framer framer
+	framer   framer
+	pipeline pipeline
+	// lingering is set while the connection stays open after its last response.
+	lingering atomic.Bool
 
-	mu     sync.Mutex
-	cancel context.CancelFunc
-	// bodies holds the bodies of requests whose handler has not started.
-	bodies map[*http.Request][]byte
-	// closed is set when the connection has ended.
-	closed bool
+	mu sync.Mutex
+	// idle closes the connection if no request arrives; nil while one is in flight.
+	idle *time.Timer
 }
 
-func (c *conn) setCancel(cancel context.CancelFunc) {
+// setIdle starts the idle time-out again.
+func (c *conn) setIdle(timeout time.Duration) {
 	c.mu.Lock()
-	c.cancel = cancel
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	if c.idle != nil {
+		c.idle.Stop()
+	}
+	c.idle = time.AfterFunc(timeout, c.closeIdle)
 }
 
-func (c *conn) cancelRequest() {
+// stopIdle stops the idle time-out, which must not end a request in flight.
+func (c *conn) stopIdle() {
 	c.mu.Lock()
-	cancel := c.cancel
-	c.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	defer c.mu.Unlock()
+	if c.idle != nil {
+		c.idle.Stop()
+		c.idle = nil
+	}
+}
+
+func (c *conn) closeIdle() {
+	if c.pending.Load() == 0 {
+		_ = c.CloseWithError(os.ErrDeadlineExceeded)
 	}
 }
 
+// linger closes the connection after some time, in which the caller can read the last
+// response and close the connection itself.
+func (c *conn) linger(err error) {
+	c.lingering.Store(true)
+	time.AfterFunc(lingerTime, func() { _ = c.CloseWithError(err) })
+}
+
 func (c *conn) onSent(n int) {
 	c.queued.Add(int64(-n))
 	select {
--- a/internal/http1/drain.go
+++ b/internal/http1/drain.go
@@ -31,11 +31,11 @@
 	}
 }
 
-// closeIdle closes the connections without a request in flight and returns the
-// number of the others.
+// closeIdle closes the connections without a request in flight, except those whose
+// caller may still read the last response. It returns the number of open connections.
 func (s *Server) closeIdle() (busy int) {
 	for _, c := range s.snapshot() {
-		if c.pending.Load() > 0 {
+		if c.pending.Load() > 0 || c.lingering.Load() {
 			busy++
 			continue
 		}
@@ -50,7 +50,7 @@
 		close(s.stopped)
 		_ = s.listener.Close()
 		for _, c := range s.snapshot() {
-			c.cancelRequest()
+			c.pipeline.cancel()
 			_ = c.Close()
 		}
 		s.engine.Stop()
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net/http"
 	"sync"
 	"time"
 
@@ -35,6 +34,8 @@
 	// head is the received part of the header, until it is complete and checked. The
 	// header of a chunked body is kept until the body is complete.
 	head []byte
+	// headBytes is the size of the last complete header.
+	headBytes int
 	// headStart is the time of the first read of an incomplete header; zero if there
 	// is none.
 	headStart time.Time
@@ -134,7 +135,7 @@
 		return nil
 	}
 	complete := f.head
-	f.head = nil
+	f.head, f.headBytes = nil, len(f.head)
 	return parse(complete)
 }
 
@@ -166,6 +167,7 @@
 		return n, err
 	}
 	complete, body := f.declared.withLength(f.head, len(f.body)), f.body
+	f.headBytes = len(f.head)
 	f.chunks, f.head, f.body, f.inBody = chunkDecoder{}, nil, nil, false
 	if err := parse(complete); err != nil || len(body) == 0 {
 		return n, err
@@ -219,37 +221,3 @@
 	f.body, f.heldBytes = nil, 0
 	return body
 }
-
-// storeBody keeps the body of a request until its handler runs.
-func (c *conn) storeBody(r *http.Request, body []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		c.framer.releaseMemory(len(body))
-		return
-	}
-	if c.bodies == nil {
-		c.bodies = make(map[*http.Request][]byte)
-	}
-	c.bodies[r] = body
-}
-
-// releaseBodies releases the memory of bodies that no handler will receive.
-func (c *conn) releaseBodies() {
-	c.framer.close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-	for _, body := range c.bodies {
-		c.framer.releaseMemory(len(body))
-	}
-	c.bodies = nil
-}
-
-func (c *conn) removeBody(r *http.Request) []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	body := c.bodies[r]
-	delete(c.bodies, r)
-	return body
-}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,12 +23,18 @@
 const (
 	// readBuffer is the size of the shared read buffer of each poller.
 	readBuffer = 32 << 10
-	pollers    = 2
+	pollers    = 1
 	maxConns   = 4096
 	// lingerTime is how long a connection with bad input stays open after the
 	// response. Closing it while input arrives would reset it, and the caller would
 	// lose the response.
 	lingerTime = time.Second
+	// engineIdleTime is the idle time-out that nbhttp sets on a connection. It sets it
+	// after its poller has started to read, so it could end the first request. The
+	// server's own idle timer applies instead.
+	engineIdleTime = 365 * 24 * time.Hour
+	// startTimeout limits the wait for the poller.
+	startTimeout = time.Second
 )
 
 // Handler answers one request, whose body was read completely. ctx ends when the
@@ -60,6 +67,12 @@
 	Limits Limits
 	// Memory limits the bodies of all requests together; nil means no limit.
 	Memory Memory
+	// Repeatable reports whether a request may run beside others of its connection and
+	// may be sent again by its caller; nil means that no request may.
+	Repeatable func(r *http.Request) bool
+	// Panicked is called when the handler has panicked; the caller gets status 500. It
+	// may be nil.
+	Panicked func(cause any, stack []byte)
 	// StallTimeout is the maximum time without progress of a write; zero means 30 s.
 	StallTimeout time.Duration
 
@@ -69,6 +82,9 @@
 	closing  sync.Once
 	// stopped is closed by Close.
 	stopped chan struct{}
+	// polled is closed when a connection has ended, which the poller reports.
+	polled     chan struct{}
+	polledOnce sync.Once
 
 	mu sync.Mutex
 	// conns holds all open connections.
@@ -92,7 +108,7 @@
 		s.StallTimeout = defaultStallTimeout
 	}
 	s.conns = make(map[*nbio.Conn]*conn)
-	s.stopped = make(chan struct{})
+	s.stopped, s.polled = make(chan struct{}), make(chan struct{})
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on TCP %s; choose a free port", addr)
@@ -109,7 +125,7 @@
 		ReadLimit:       maxBodyLimit + maxHeaderLimit,
 		ReadBufferSize:  readBuffer,
 		MaxHTTPBodySize: maxBodyLimit,
-		KeepaliveTime:   s.currentLimits().IdleTimeout,
+		KeepaliveTime:   engineIdleTime,
 		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		ServerExecutor:  func(f func()) { go f() },
 		Handler:         http.HandlerFunc(s.serve),
@@ -122,7 +138,27 @@
 	s.engine.OnClose(s.onClose)
 	s.engine.Engine.OnData(s.onData)
 	s.engine.Engine.OnWrittenSize(s.onWritten)
-	return eris.Wrap(s.engine.Start(), "start HTTP server")
+	if err := s.engine.Start(); err != nil {
+		return eris.Wrap(err, "start HTTP server")
+	}
+	s.awaitPoller()
+	return nil
+}
+
+// awaitPoller waits until the poller runs, by means of a connection that it has to
+// close. nbio's Stop never returns if it is called before its poller has started.
+func (s *Server) awaitPoller() {
+	c, err := net.DialTimeout("tcp", s.Addr(), startTimeout)
+	if err != nil {
+		return
+	}
+	_ = c.Close()
+	timer := time.NewTimer(startTimeout)
+	defer timer.Stop()
+	select {
+	case <-s.polled:
+	case <-timer.C:
+	}
 }
 
 // Addr returns the TCP address that the server listens on.
@@ -133,14 +169,17 @@
 	if !ok {
 		return
 	}
-	s.mu.Lock()
-	s.conns[nc] = &conn{
+	opened := &conn{
 		Conn: nc, stallTimeout: s.StallTimeout, progress: make(chan struct{}, 1), framer: framer{limits: s.currentLimits, memory: s.Memory},
 	}
+	opened.setIdle(s.currentLimits().IdleTimeout)
+	s.mu.Lock()
+	s.conns[nc] = opened
 	s.mu.Unlock()
 }
 
 func (s *Server) onClose(c net.Conn, _ error) {
+	s.polledOnce.Do(func() { close(s.polled) })
 	nc, ok := c.(*nbio.Conn)
 	if !ok {
 		return
@@ -149,8 +188,13 @@
 	closed := s.conns[nc]
 	delete(s.conns, nc)
 	s.mu.Unlock()
-	if closed != nil {
-		closed.releaseBodies()
+	if closed == nil {
+		return
+	}
+	closed.stopIdle()
+	closed.framer.close()
+	for _, x := range closed.pipeline.close() {
+		closed.framer.releaseMemory(len(x.body))
 	}
 }
 
@@ -163,12 +207,54 @@
 // onRequest is called in the order of parsing, before the request is passed to a
 // goroutine.
 func (s *Server) onRequest(w http.ResponseWriter, r *http.Request) {
-	if c := s.connOf(w); c != nil {
-		c.pending.Add(1)
-		c.storeBody(r, c.framer.takeBody())
-		// The idle time-out must not end a request in flight.
-		_ = c.SetReadDeadline(time.Time{})
+	c := s.connOf(w)
+	if c == nil {
+		return
+	}
+	body := c.framer.takeBody()
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), arrivalKey{}, time.Now()))
+	x := &exchange{parsed: r, request: r.WithContext(ctx), body: body, size: c.framer.headBytes + len(body), cancel: cancel}
+	x.repeatable = s.Repeatable != nil && s.Repeatable(x.request)
+	c.stopIdle()
+	c.pending.Add(1)
+	if !c.pipeline.push(x) {
+		cancel()
+		c.pending.Add(-1)
+		c.framer.releaseMemory(len(body))
+		c.framer.failed = true
+		return
 	}
+	if r.Close {
+		c.framer.failed = true
+	}
+	s.beginWaiting(c)
+}
+
+// beginWaiting begins the requests that may run beside the first one of a connection.
+// While the server drains it begins none, so that connections come to an end.
+func (s *Server) beginWaiting(c *conn) {
+	if s.isDraining() {
+		return
+	}
+	for _, x := range c.pipeline.startable() {
+		go func() { x.answered <- s.run(c, x) }()
+	}
+}
+
+// run calls the handler.
+func (s *Server) run(c *conn, x *exchange) (response *http.Response) {
+	defer c.framer.releaseMemory(len(x.body))
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if s.Panicked != nil {
+			s.Panicked(cause, debug.Stack())
+		}
+		response = Text(http.StatusInternalServerError, "internal error")
+	}()
+	return s.Handler(x.request.Context(), x.request, x.body)
 }
 
 func (s *Server) connOf(w http.ResponseWriter) *conn {
@@ -201,23 +287,22 @@
 		parser.Processor = &c.framer
 	}
 	err := c.framer.feed(parser.Parse, data)
-	if err == nil {
+	switch {
+	case err == nil:
 		if c.pending.Load() == 0 {
-			_ = c.SetReadDeadline(time.Now().Add(s.currentLimits().IdleTimeout))
+			c.setIdle(s.currentLimits().IdleTimeout)
 		}
-		return
-	}
-	if c.pending.Load() == 0 && !errors.Is(err, net.ErrClosed) {
+	case errors.Is(err, net.ErrClosed):
+		_ = nc.CloseWithError(err)
+	case !c.pipeline.end(err):
 		go s.reject(c, err)
-		return
 	}
-	_ = nc.CloseWithError(err)
 }
 
 // reject answers input that is not a valid request and closes the connection.
 func (s *Server) reject(c *conn, err error) {
 	_ = c.respond(s.badRequest(err), nil, true)
-	time.AfterFunc(lingerTime, func() { _ = c.CloseWithError(err) })
+	c.linger(err)
 }
 
 func (s *Server) badRequest(err error) *http.Response {
@@ -244,28 +329,41 @@
 	}
 }
 
+// serve answers one request. It is called in the order of parsing, and after the
+// answer to the request before.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	_, _, _ = w.(http.Hijacker).Hijack()
 	c := s.connOf(w)
 	if c == nil {
 		return
 	}
-	defer c.pending.Add(-1)
-	_, _, _ = w.(http.Hijacker).Hijack()
-	body := c.removeBody(r)
-	defer c.framer.releaseMemory(len(body))
-	ctx, cancel := context.WithCancel(context.Background())
-	c.setCancel(cancel)
-	defer func() {
-		c.setCancel(nil)
-		cancel()
-	}()
-	response := s.Handler(ctx, r, body)
-	last := r.Close || s.isDraining()
-	if err := c.respond(response, r, last); err != nil || last {
-		_ = c.Close()
+	closed, _ := c.IsClosed()
+	x, begin := c.pipeline.front(r, closed)
+	if x == nil {
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(s.currentLimits().IdleTimeout))
+	defer x.cancel()
+	var response *http.Response
+	if begin {
+		response = s.run(c, x)
+	} else {
+		response = <-x.answered
+	}
+	last := c.pipeline.isLast(s.isDraining())
+	err := c.respond(response, x.request, last)
+	badInput := c.pipeline.remove()
+	switch {
+	case err != nil || last && !c.pipeline.unanswered():
+		_ = c.Close()
+	case last:
+		c.linger(nil)
+	case badInput != nil:
+		s.reject(c, badInput)
+	default:
+		c.setIdle(s.currentLimits().IdleTimeout)
+		s.beginWaiting(c)
+	}
+	c.pending.Add(-1)
 }
 
 func (s *Server) isDraining() bool {
@@ -281,7 +379,7 @@
 	startedBefore := time.Now().Add(-s.currentLimits().HeadTimeout)
 	for _, c := range s.snapshot() {
 		if closed, _ := c.IsClosed(); closed {
-			c.cancelRequest()
+			c.pipeline.cancel()
 		} else if c.pending.Load() == 0 && c.framer.expireHead(startedBefore) {
 			go s.reject(c, ErrHeaderTooSlow)
 		}
