Classify pipelined requests at both doors and count their time from arrival

Cause: package http1 now runs repeatable requests of a connection side by side, but only the doors know which requests are repeatable. Deadlines counted from the call of the handler, so a request that waited behind others on its connection got more time than its caller allowed.

--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -63,6 +63,9 @@
 	// Deadline has a monotonic clock reading of this process, so it is sent to other
 	// nodes as Timeout.
 	Deadline time.Time `msgpack:"-"`
+	// Arrived is when the entry node had read the request. It is not sent to other
+	// nodes.
+	Arrived time.Time `msgpack:"-"`
 	// Host is the authority in the caller's request.
 	Host string `msgpack:"w,omitempty"`
 	// Origin is the service on the host of the entry node. The entry node is the node
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -42,22 +42,19 @@
 		return call.Request{}, fault.New(fault.KindBadRequest, "%d lines of %s; send one", len(keys), call.HeaderKey)
 	}
 	out := call.Request{
-		ID:      header.Get(call.HeaderID),
-		Service: header.Get(call.HeaderService),
-		Method:  r.Method,
-		URI:     r.URL.RequestURI(),
-		Tenant:  label(header.Get(call.HeaderTenant), "default"),
-		Class:   label(header.Get(call.HeaderClass), "default"),
-		Key:     header.Get(call.HeaderKey),
-		Parent:  header.Get(call.HeaderParent),
-		Body:    body,
+		ID:     header.Get(call.HeaderID),
+		Method: r.Method,
+		URI:    r.URL.RequestURI(),
+		Tenant: label(header.Get(call.HeaderTenant), "default"),
+		Class:  label(header.Get(call.HeaderClass), "default"),
+		Key:    header.Get(call.HeaderKey),
+		Parent: header.Get(call.HeaderParent),
+		Body:   body,
 	}
 	if out.ID == "" {
 		out.ID = newID()
 	}
-	if out.Service == "" {
-		out.Service, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	}
+	out.Service = serviceOf(r)
 	if out.Service == "" {
 		return out, fault.New(fault.KindUnknownService, "the request names no service").
 			WithRemedy("send /SERVICE/... or the Service header")
@@ -65,10 +62,7 @@
 	if len(out.Key) > maxKeyLength || len(out.ID) > maxKeyLength {
 		return out, fault.New(fault.KindBadRequest, "%s and %s may have %d bytes", call.HeaderKey, call.HeaderID, maxKeyLength)
 	}
-	out.Idempotent = idempotentMethods[r.Method]
-	if idempotent, known := rules.Idempotent(out.Service, r.Method, r.URL.Path); known {
-		out.Idempotent = idempotent
-	}
+	out.Idempotent = idempotent(r, out.Service, rules)
 	if err := parseCallChain(&out, header, rules, now); err != nil {
 		return out, err
 	}
@@ -80,6 +74,21 @@
 	return out, nil
 }
 
+func serviceOf(r *http.Request) string {
+	if service := r.Header.Get(call.HeaderService); service != "" {
+		return service
+	}
+	service, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return service
+}
+
+func idempotent(r *http.Request, service string, rules Rules) bool {
+	if idempotent, known := rules.Idempotent(service, r.Method, r.URL.Path); known {
+		return idempotent
+	}
+	return idempotentMethods[r.Method]
+}
+
 // parseCallChain sets the deadline, the hop and the parent of a request from the
 // headers that are passed down a chain of calls.
 func parseCallChain(out *call.Request, header http.Header, rules Rules, now time.Time) error {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -54,6 +54,7 @@
 	s.Handler = s.handle
 	if s.Dialect == nil {
 		s.Dialect = nativeDialect{s.Rules}
+		s.Repeatable = func(r *http.Request) bool { return idempotent(r, serviceOf(r), s.Rules) }
 	}
 	s.BadRequest = s.badRequest
 	return s.Server.Listen(addr)
@@ -88,8 +89,9 @@
 }
 
 func (s *Server) handle(ctx context.Context, hr *http.Request, body []byte) *http.Response {
-	start := time.Now()
+	start := http1.Arrival(ctx)
 	r, err := s.Dialect.Parse(hr, body, start)
+	r.Arrived = start
 	if err != nil {
 		f := fault.As(err)
 		s.observe(r, f.Status, f, start)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -98,6 +98,9 @@
 	n.measuring.assemble(n)
 	n.telemetry.assemble(n)
 	n.callers.Calls, n.callers.Rules, n.callers.Limits.Body = n, &n.config, n.MaxBody
+	n.callers.Panicked = func(cause any, stack []byte) {
+		n.Log.WithField("cause", cause).WithField("stack", string(stack)).Error("handler of a caller's request panicked")
+	}
 	n.announceServer.Handler = n.handleAnnounce
 	return n.operators.assemble(n)
 }
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -61,7 +61,8 @@
 // prepare completes a parsed request with the settings of its route. The latency
 // objective counts from the caller's first attempt, because the caller measures the
 // latency from there.
-func (d *dispatcher) prepare(r call.Request, rt route.Route, service string, now time.Time) call.Request {
+func (d *dispatcher) prepare(r call.Request, rt route.Route, service string) call.Request {
+	now := r.Arrived
 	r.Service, r.Route, r.Idempotent, r.Priority, r.Origin = service, rt.Name, rt.Idempotent, rt.Priority, d.Service
 	limit := now.Add(rt.Timeout)
 	left := rt.Timeout
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -111,6 +111,10 @@
 	n.callers.Calls, n.callers.Dialect = n, o.Dialect
 	n.bodies.Max = o.MaxBodies
 	n.callers.Memory = &n.bodies
+	n.callers.Repeatable = n.repeatable
+	n.callers.Panicked = func(cause any, stack []byte) {
+		n.Log.WithField("cause", cause).WithField("stack", string(stack)).Error("handler of a caller's request panicked")
+	}
 	n.callers.Rejected = func(id string, err *fault.Error) { _ = n.logRejected(id, err) }
 }
 
@@ -132,15 +136,14 @@
 	if table == nil {
 		return nil, n.logRejected(r.ID, fault.New(fault.KindStopped, "node %s has no configuration yet", n.Node()).WithWait(joinRetry))
 	}
-	now := time.Now()
 	rt, service, ok := table.Find(r.Host, pathOf(r.URI))
 	if !ok {
 		return nil, n.logRejected(r.ID, fault.New(fault.KindNotFound, "no route for host %q and path %.80q in version %d", r.Host, r.URI, table.Document.Version))
 	}
-	d := dispatch{dispatcher: &n.dispatcher, request: n.dispatcher.prepare(r, rt, service, now), attempts: rt.MaxAttempts}
+	d := dispatch{dispatcher: &n.dispatcher, request: n.dispatcher.prepare(r, rt, service), attempts: rt.MaxAttempts}
 	ctx, cancel := context.WithDeadline(ctx, d.request.Deadline)
 	answer, err := d.run(ctx)
-	n.requestMetrics.observe(d.request, answer, err, time.Since(now))
+	n.requestMetrics.observe(d.request, answer, err, time.Since(r.Arrived))
 	if err != nil {
 		cancel()
 		return nil, err
@@ -153,6 +156,12 @@
 	return answer, nil
 }
 
+// repeatable reports whether a caller's request may run beside others of its connection.
+func (n *Node) repeatable(r *http.Request) bool {
+	table := n.follower.table.Load()
+	return table != nil && table.Idempotent(r.Host, r.URL.EscapedPath())
+}
+
 // logRejected logs a request that failed before placement, and returns the error.
 func (n *Node) logRejected(id string, err *fault.Error) *fault.Error {
 	n.Log.WithField("id", id).WithField("kind", string(err.Kind)).WithField("status", err.Status).
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -58,14 +58,29 @@
 	return s, ok
 }
 
+// Idempotent reports whether the route of a request is idempotent; false if there is
+// none.
+func (t *Table) Idempotent(host, path string) bool {
+	e := t.find(host, path)
+	return e != nil && e.Route.Idempotent
+}
+
 // Find returns the route of a request and the service to which this request goes.
 func (t *Table) Find(host, path string) (r Route, service string, ok bool) {
+	e := t.find(host, path)
+	if e == nil {
+		return Route{}, "", false
+	}
+	return e.Route, e.pick(), true
+}
+
+func (t *Table) find(host, path string) *entry {
 	for _, e := range t.hosts[hostname(host)] {
 		if strings.HasPrefix(path, e.Prefix) {
-			return e.Route, e.pick(), true
+			return e
 		}
 	}
-	return Route{}, "", false
+	return nil
 }
 
 // pick distributes requests over the destinations by weight. Round robin keeps each
