Learn how long the slow periods of a server last

Cause: slow periods of 150 ms were assumed. The baseline, the lowest figure of the last 400 to 800 ms, then rose to the figure of the slow period, the server counted as usual, and requests began on it at seven times their duration. Nodes that receive requests also forgot a slow period after 150 ms.

Load pattern: periods of 500 ms at seven times the duration, a quarter of the time, one directly after another.

Change: slots.Slowdown measures the length of slow periods; the baseline covers six of them, and queued requests wait for the expected rest. The load figures carry how long to avoid a slow server.

--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -25,6 +25,8 @@
 	// Slowdown is the factor by which requests take longer than usual; zero when
 	// unknown.
 	Slowdown float64 `msgpack:"p,omitempty"`
+	// SlowFor is how long the server should be avoided because of a slow period.
+	SlowFor time.Duration `msgpack:"e,omitempty"`
 	// Wait is the expected wait for a slot.
 	Wait time.Duration `msgpack:"w,omitempty"`
 	// Unhealthy is set when many of the server's requests fail.
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -103,7 +103,8 @@
 		if l := d.loads[e.Node]; l != nil {
 			s.LocalInFlight, s.Unreachable, s.Avoid = l.sinceObserved, l.reach.Unreachable(), l.avoid
 			if !l.observedAt.IsZero() {
-				s.Seen, s.Running, s.Limit, s.Slowdown, s.Wait = l.observedAt, l.load.InFlight, l.load.Limit, l.load.Slowdown, l.load.Wait
+				s.Seen, s.Running, s.Limit, s.Wait = l.observedAt, l.load.InFlight, l.load.Limit, l.load.Wait
+				s.Slowdown, s.SlowFor = l.load.Slowdown, l.load.SlowFor
 				s.Unhealthy = l.load.Unhealthy
 			}
 		}
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -288,7 +288,7 @@
 	defer p.mu.Unlock()
 	l := p.limiter.Load(time.Now())
 	return call.Load{
-		InFlight: l.Running, Queued: l.Waiting, Slots: l.Slots, Limit: l.Limit, Slowdown: l.Slowdown, Wait: l.Wait, Unhealthy: p.limiter.Health.Unhealthy(),
+		InFlight: l.Running, Queued: l.Waiting, Slots: l.Slots, Limit: l.Limit, Slowdown: l.Slowdown, SlowFor: l.SlowFor, Wait: l.Wait, Unhealthy: p.limiter.Health.Unhealthy(),
 		Draining: p.server.State != roster.Ready || p.down,
 	}
 }
--- a/internal/pacing/emulator.go
+++ b/internal/pacing/emulator.go
@@ -184,6 +184,10 @@
 		if e.now < s.slowUntil || e.now < s.normalUntil {
 			continue
 		}
+		if p.Joined {
+			e.drawSlowPeriod(s)
+			continue
+		}
 		s.normalUntil = e.now + time.Duration(e.arrivals.ExpFloat64()*meanGap)
 		if e.now > 0 {
 			s.slowUntil = e.now + p.SlowTime
@@ -192,6 +196,19 @@
 	}
 }
 
+// drawSlowPeriod decides whether a server is slow until its next draw. Draws of
+// different servers are at different times.
+func (e *emulator) drawSlowPeriod(s *server) {
+	until := e.now + e.Pattern.SlowTime
+	if e.now == 0 {
+		until = time.Duration(e.arrivals.Int64N(int64(e.Pattern.SlowTime)))
+	}
+	if e.arrivals.Float64() < e.Pattern.SlowShare {
+		s.slowUntil = until
+	}
+	s.normalUntil = until
+}
+
 // addRequests generates the requests that callers send during this tick.
 func (e *emulator) addRequests() {
 	load := e.Load
--- a/internal/pacing/limiter_policy.go
+++ b/internal/pacing/limiter_policy.go
@@ -150,7 +150,7 @@
 
 func (p *limiterPolicy) load(s int) load {
 	l := p.limiters[s].Load(p.time(p.now))
-	return load{running: l.Running, waiting: l.Waiting, limit: l.Limit, slowdown: l.Slowdown, wait: l.Wait}
+	return load{running: l.Running, waiting: l.Waiting, limit: l.Limit, slowdown: l.Slowdown, slowFor: l.SlowFor, wait: l.Wait}
 }
 
 func (p *limiterPolicy) probe(s int) {
@@ -188,7 +188,8 @@
 func (p *limiterPolicy) onLoad(entry, s int, resp response) {
 	v := &p.views[entry][s]
 	v.Seen, v.LocalInFlight = p.time(p.now), 0
-	v.Running, v.Limit, v.Slowdown, v.Wait = resp.load.running, resp.load.limit, resp.load.slowdown, resp.load.wait
+	v.Running, v.Limit, v.Wait = resp.load.running, resp.load.limit, resp.load.wait
+	v.Slowdown, v.SlowFor = resp.load.slowdown, resp.load.slowFor
 }
 
 func (p *limiterPolicy) onRestart(s int) { p.limiters[s].Restarted() }
--- a/internal/pacing/pacing_test.go
+++ b/internal/pacing/pacing_test.go
@@ -112,6 +112,11 @@
 		"knee, 85, overload":        {"knee", 85, 1.6, 0.04},
 		"flat, 300, usual load":     {"flat", 300, 1, 0.02},
 		"knee, 300, a quarter more": {"knee", 300, 1.25, 0.02},
+		"long, usual load":          {"long", 6, 1, 0.02},
+		"long, a quarter more":      {"long", 6, 1.25, 0.02},
+		"long, overload":            {"long", 6, 1.6, 0.04},
+		"long, 85 servers":          {"long", 85, 1.25, 0.02},
+		"long, 85, overload":        {"long", 85, 1.6, 0.04},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/pacing/pattern.go
+++ b/internal/pacing/pattern.go
@@ -24,6 +24,9 @@
 	// SlowShare of the time, in periods of the length SlowTime.
 	SlowShare, SlowFactor float64
 	SlowTime              time.Duration
+	// Joined is set if one slow period may directly follow another, so that a server
+	// can be slow for several times SlowTime.
+	Joined bool
 	// Requests that start with more than the share Knee of the slots busy take
 	// KneeFactor times as long. A factor of 1 means that there is no knee.
 	Knee, KneeFactor float64
@@ -48,7 +51,8 @@
 const lateCredit = 0.1
 
 // Patterns returns the patterns of the deployments in docs/platform.md: servers that
-// slow down when nearly all of their slots are busy, and servers that do not.
+// slow down when nearly all of their slots are busy, servers that do not, and servers
+// with slow periods that last longer than most objectives.
 func Patterns() []Pattern {
 	knee := Pattern{
 		Name: "knee", Servers: 10, Slots: 12, Domains: 6, Regions: 3,
@@ -68,7 +72,16 @@
 			{Name: "lookup", Rate: 269, Work: 90 * time.Millisecond, Objective: 300 * time.Millisecond, Deadline: 800 * time.Millisecond, Value: 1},
 		},
 	}
-	return []Pattern{knee, flat}
+	long := Pattern{
+		Name: "long", Servers: 6, Slots: 12, Domains: 6, Regions: 3,
+		DomainDelay: 500 * time.Microsecond, RegionDelay: 8 * time.Millisecond,
+		SlowShare: 0.25, SlowFactor: 7, SlowTime: 500 * time.Millisecond, Joined: true, Knee: 1, KneeFactor: 1,
+		Kinds: []Kind{
+			{Name: "order", Rate: 59, Work: 120 * time.Millisecond, Objective: 400 * time.Millisecond, Deadline: time.Second, Value: 2},
+			{Name: "lookup", Rate: 139, Work: 90 * time.Millisecond, Objective: 300 * time.Millisecond, Deadline: 800 * time.Millisecond, Value: 1},
+		},
+	}
+	return []Pattern{knee, flat, long}
 }
 
 // PatternNamed returns the pattern with the name, or false if there is none.
--- a/internal/pacing/policy.go
+++ b/internal/pacing/policy.go
@@ -22,7 +22,7 @@
 type load struct {
 	running, waiting, limit int
 	slowdown                float64
-	wait                    time.Duration
+	slowFor, wait           time.Duration
 }
 
 // twoChoices sends a request to the less loaded of two random servers, which refuses
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -40,11 +40,13 @@
 type Server struct {
 	ID       string
 	Distance Distance
-	// Running, Limit, Slowdown and Wait are the figures of the last answer or
+	// Running, Limit, Slowdown, SlowFor and Wait are the figures of the last answer or
 	// refusal.
 	Running, Limit int
 	Slowdown       float64
-	Wait           time.Duration
+	// SlowFor is how long after Seen the server may still be in a slow period.
+	SlowFor time.Duration
+	Wait    time.Duration
 	// Unhealthy is set when the server's failure rate is high.
 	Unhealthy bool
 	// Seen is when these figures arrived; zero means never.
@@ -89,10 +91,6 @@
 const (
 	// maxLoadAge is how long the load figures of a server are used.
 	maxLoadAge = time.Second
-	// slowPeriod is the expected length of a slow period after it was observed.
-	slowPeriod = 150 * time.Millisecond
-	// slowThreshold is the slowdown from which a server counts as in a slow period.
-	slowThreshold = 2.0
 	// fullLoadCost is the cost of a server with all slots busy over an idle one,
 	// beyond the wait. It is a little more than a round trip to the next failure
 	// domain with a small answer, so that load spreads over a region first.
@@ -172,8 +170,8 @@
 	if s.Unhealthy {
 		cost += unhealthyCost
 	}
-	if s.Slowdown >= slowThreshold && age < slowPeriod {
-		remaining := float64(slowPeriod-age) * (1 - 1/s.Slowdown)
+	if age < s.SlowFor && s.Slowdown > 1 {
+		remaining := float64(s.SlowFor-age) * (1 - 1/s.Slowdown)
 		cost += min(time.Duration(remaining), time.Duration(float64(work)*(s.Slowdown-1)))
 	}
 	return cost
--- a/pkg/placement/pick_test.go
+++ b/pkg/placement/pick_test.go
@@ -30,7 +30,7 @@
 			[]Server{with(near, func(s *Server) { s.Running = 9 }), region, far}, lookup, nil, "region",
 		},
 		"next domain when the nearest server is slow": {
-			[]Server{with(near, func(s *Server) { s.Slowdown = 5 }), region, far}, lookup, nil, "region",
+			[]Server{with(near, func(s *Server) { s.Slowdown, s.SlowFor = 5, 150*time.Millisecond }), region, far}, lookup, nil, "region",
 		},
 		"own requests since the last figure count": {
 			[]Server{with(near, func(s *Server) { s.LocalInFlight = 9 }), region}, lookup, nil, "region",
@@ -60,7 +60,9 @@
 			[]Server{with(near, func(s *Server) { s.WarmingUntil = now.Add(time.Second) }), region}, lookup, nil, "region",
 		},
 		"an old figure is ignored": {
-			[]Server{with(near, func(s *Server) { s.Slowdown, s.Running, s.Seen = 5, 10, now.Add(-2*time.Second) }), region}, lookup, nil, "near",
+			[]Server{with(near, func(s *Server) {
+				s.Slowdown, s.SlowFor, s.Running, s.Seen = 5, 150*time.Millisecond, 10, now.Add(-2*time.Second)
+			}), region}, lookup, nil, "near",
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/slots/limiter.go
+++ b/pkg/slots/limiter.go
@@ -108,6 +108,10 @@
 type Load struct {
 	Running, Waiting, Limit, Slots int
 	Slowdown                       float64
+	// SlowFor is how long other nodes should avoid the server because of the slow
+	// period; zero outside slow periods. It is a whole period: a request that arrives
+	// before the end is handed back and costs a round trip.
+	SlowFor time.Duration
 	// Wait is the expected wait for a slot.
 	Wait time.Duration
 }
@@ -214,10 +218,17 @@
 // the slow period. It reports false if there is no slow period, no slot for late
 // requests or no time to wait.
 func (l *Limiter) awaitSlowPeriodEnd(run *Run, work time.Duration, now time.Time) bool {
-	if !l.Slowdown.Slow(now) || !l.lateSlotFree(now) || now.Add(slowPeriod+work).After(run.Deadline) {
+	if !l.Slowdown.Slow(now) || !l.lateSlotFree(now) {
 		return false
 	}
-	run.late, run.until = true, now.Add(slowPeriod)
+	lastStart := run.Deadline.Add(-work)
+	if now.Add(l.Slowdown.Remaining(now)).After(lastStart) {
+		return false
+	}
+	run.late, run.until = true, now.Add(l.Slowdown.Period())
+	if run.until.After(lastStart) {
+		run.until = lastStart
+	}
 	return true
 }
 
@@ -235,7 +246,7 @@
 	// after the slow period.
 	slowed := l.slowed(work, now)
 	idle := 2*l.running < l.Limit.Current()
-	return idle && !now.Add(slowed).After(req.Objective) || slowed <= slowPeriod+work
+	return idle && !now.Add(slowed).After(req.Objective) || slowed <= l.Slowdown.Remaining(now)+work
 }
 
 // slowed returns the duration of a request that starts at the current slowdown,
@@ -370,7 +381,7 @@
 		run.delayedSince = now
 	}
 	work := l.UsualDuration(run.Kind)
-	if l.Slowdown.Slow(now) && now.Before(run.delayedSince.Add(slowPeriod)) && l.slowed(work, now) > slowPeriod+work {
+	if l.Slowdown.Slow(now) && now.Before(run.delayedSince.Add(l.Slowdown.Period())) && l.slowed(work, now) > l.Slowdown.Remaining(now)+work {
 		return false
 	}
 	run.started, run.slow, run.floor = now, l.Slowdown.Slow(now), l.Slowdown.Baseline()
@@ -388,8 +399,12 @@
 
 // Load returns the load figures that are sent with answers and refusals.
 func (l *Limiter) Load(now time.Time) Load {
-	return Load{
+	load := Load{
 		Running: l.running, Waiting: len(l.queue), Limit: l.Limit.Current(), Slots: l.Limit.Slots(),
 		Slowdown: l.Slowdown.Factor(now), Wait: l.Estimate(1 << 30),
 	}
-}
+	if l.Slowdown.Slow(now) {
+		load.SlowFor = l.Slowdown.Period()
+	}
+	return load
+}
--- a/pkg/slots/slowdown.go
+++ b/pkg/slots/slowdown.go
@@ -14,6 +14,11 @@
 	// before.
 	lowest, previousLowest float64
 	window                 time.Time
+	// slowSince is when the current slow period was first observed; zero outside slow
+	// periods.
+	slowSince time.Time
+	// lengths is the mean length of the slow periods observed so far.
+	lengths mean
 }
 
 const (
@@ -31,11 +36,21 @@
 	// period in forty begins within 8 ms.
 	maxStartAge = 8 * time.Millisecond
 	// slowThreshold separates a slow period from ordinary variation. It is a
-	// multiple of the lowest factor of the last one to two baselineWindows.
-	slowThreshold  = 2.0
-	baselineWindow = 400 * time.Millisecond
-	// slowPeriod is the usual length of a slow period.
-	slowPeriod = 150 * time.Millisecond
+	// multiple of the lowest factor of the last one to two baseline windows.
+	slowThreshold = 2.0
+	// baselinePeriods is the length of a baseline window in slow periods. A slow period
+	// may follow another, and a window that lies within a series of them would take the
+	// slow server for a usual one.
+	baselinePeriods = 6
+	// defaultSlowPeriod is the assumed length of a slow period until minSlowPeriods of
+	// them were observed, and maxSlowPeriod the greatest length that counts: a server
+	// that is slow for longer is slow for another reason.
+	defaultSlowPeriod = 150 * time.Millisecond
+	maxSlowPeriod     = 2 * time.Second
+	minSlowPeriods    = 3
+	// minRemaining is the least time that a slow period is expected to go on, as a
+	// share of the usual length.
+	minRemaining = 0.25
 )
 
 // Observe records the factor that the server reported.
@@ -43,12 +58,28 @@
 	if factor <= 0 {
 		return
 	}
+	gap := now.Sub(s.seen)
 	s.factor, s.seen = factor, now
+	s.updateBaseline(factor, now)
+	slow := s.Slow(now)
+	switch {
+	case slow && (s.slowSince.IsZero() || gap > maxAge):
+		s.slowSince = now
+	case !slow && !s.slowSince.IsZero():
+		if length := now.Sub(s.slowSince); gap <= maxAge && length <= maxSlowPeriod {
+			s.lengths.add(float64(length))
+		}
+		s.slowSince = time.Time{}
+	}
+}
+
+func (s *Slowdown) updateBaseline(factor float64, now time.Time) {
+	window := baselinePeriods * s.Period()
 	switch age := now.Sub(s.window); {
-	case age >= 2*baselineWindow:
+	case age >= 2*window:
 		// The first factor may have been reported in a slow period.
 		s.lowest, s.previousLowest, s.window = factor, min(factor, slowThreshold), now
-	case age >= baselineWindow:
+	case age >= window:
 		s.lowest, s.previousLowest, s.window = factor, s.lowest, now
 	default:
 		s.lowest = min(s.lowest, factor)
@@ -72,6 +103,24 @@
 	return s.factor
 }
 
+// Period returns the usual length of a slow period.
+func (s *Slowdown) Period() time.Duration {
+	if s.lengths.samples < minSlowPeriods {
+		return defaultSlowPeriod
+	}
+	return time.Duration(s.lengths.value)
+}
+
+// Remaining returns how much longer the current slow period is expected to last; zero
+// outside slow periods.
+func (s *Slowdown) Remaining(now time.Time) time.Duration {
+	if !s.Slow(now) || s.slowSince.IsZero() {
+		return 0
+	}
+	period := s.Period()
+	return max(period-now.Sub(s.slowSince), time.Duration(minRemaining*float64(period)))
+}
+
 // Slow reports whether the server is in a slow period.
 func (s *Slowdown) Slow(now time.Time) bool { return s.Factor(now) >= slowThreshold*s.Baseline() }
 
--- a/pkg/slots/slowdown_test.go
+++ b/pkg/slots/slowdown_test.go
@@ -153,8 +153,8 @@
 	assert.Assert(t, !l.Begin(run, epoch))
 	l.Slowdown.Observe(5, epoch.Add(100*time.Millisecond))
 	assert.Assert(t, !l.Begin(run, epoch.Add(100*time.Millisecond)))
-	l.Slowdown.Observe(5, epoch.Add(slowPeriod))
-	assert.Assert(t, l.Begin(run, epoch.Add(slowPeriod)))
+	l.Slowdown.Observe(5, epoch.Add(defaultSlowPeriod))
+	assert.Assert(t, l.Begin(run, epoch.Add(defaultSlowPeriod)))
 }
 
 // Guards against slow runs that fill the slots of an overloaded server. Simulates 60
@@ -263,3 +263,45 @@
 		})
 	}
 }
+
+// Guards against a server in a series of long slow periods that counts as usual, and
+// against a length that follows a single period.
+func TestSlowPeriodsAreLearned(t *testing.T) {
+	for name, c := range map[string]struct {
+		// periods are the lengths of slow periods, with usual ones of the same length
+		// between them.
+		periods []time.Duration
+		want    time.Duration
+	}{
+		"none yet":      {nil, defaultSlowPeriod},
+		"too few":       {[]time.Duration{500, 500}, defaultSlowPeriod},
+		"short":         {[]time.Duration{160, 160, 160, 160}, 160 * time.Millisecond},
+		"long":          {[]time.Duration{500, 500, 500, 500}, 500 * time.Millisecond},
+		"mixed":         {[]time.Duration{400, 800, 400, 800}, 600 * time.Millisecond},
+		"not a period":  {[]time.Duration{500, 500, 500, 2500}, 500 * time.Millisecond},
+		"slow for long": {[]time.Duration{10_000}, defaultSlowPeriod},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Slowdown
+			now := epoch
+			s.Observe(1, now)
+			for _, length := range c.periods {
+				for _, factor := range []float64{7, 1} {
+					for end := now.Add(length * time.Millisecond); now.Before(end); {
+						s.Observe(factor, now)
+						now = now.Add(20 * time.Millisecond)
+					}
+				}
+			}
+			assert.Equal(t, s.Period(), c.want)
+			if c.want == defaultSlowPeriod {
+				return
+			}
+			for end := now.Add(2 * c.want); now.Before(end); now = now.Add(20 * time.Millisecond) {
+				s.Observe(7, now)
+				assert.Assert(t, s.Slow(now), "usual after %s", end.Sub(now))
+				assert.Assert(t, s.Remaining(now) > 0 && s.Remaining(now) <= c.want)
+			}
+		})
+	}
+}
