Link the calls of a server to the request that waits for them

Load pattern: requests of one service call another one that is full.

Change: chain.Runs holds the requests that the local server runs. A request whose ID names one of them is its call: it may use the time up to its deadline, and waits one level above its parent, so that calls of less urgent requests do not displace more urgent ones. A failed call neither counts against the server nor causes a second send of its parent.

--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -96,6 +96,13 @@
 	return r
 }
 
+// AsCall returns a copy for a call of the local backend server. A call has no objective
+// of its own: the request that waits for it needs the answer before its deadline.
+func (r Request) AsCall(priority int) Request {
+	r.Priority, r.Objective = priority, time.Time{}
+	return r
+}
+
 // WithAllowance returns a copy with another number of retries left.
 func (r Request) WithAllowance(n int) Request {
 	r.Allowance = n
--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -89,7 +89,8 @@
 	if result.answer != nil {
 		d.reached++
 		d.ran = true
-		if result.answer.Status < http.StatusInternalServerError || !d.mayResend(ctx) {
+		// Another server would make the call again that has just failed.
+		if result.answer.Status < http.StatusInternalServerError || result.callFailed || !d.mayResend(ctx) {
 			return result.answer, true
 		}
 		d.resendGranted = true
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -136,7 +136,7 @@
 	}
 	// Without an acknowledgement the failure is that of the node or the network, not of
 	// its server.
-	if result.ran && !result.unacknowledged {
+	if result.ran && !result.unacknowledged && !result.callFailed {
 		d.directory.observeOutcome(node, result.err != nil && ctx.Err() == nil || result.answer != nil && result.answer.Status >= 500, now)
 	}
 	return result
@@ -181,7 +181,7 @@
 		_ = answer.Body.Close()
 		return sendResult{err: fault.New(fault.KindCutShort, "reply of node %s: %v", to.Node, err), ran: true}
 	}
-	result := sendResult{ran: reply.Ran, err: reply.Fault, ticket: reply.Ticket}
+	result := sendResult{ran: reply.Ran, err: reply.Fault, ticket: reply.Ticket, callFailed: reply.CallFailed}
 	if reply.Load != nil {
 		result.load = *reply.Load
 	}
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -53,6 +53,8 @@
 	Load   *call.Load   `msgpack:"l,omitempty"`
 	// Ran is set when the request reached the backend server.
 	Ran bool `msgpack:"r,omitempty"`
+	// CallFailed is set when a call failed that the server made for the request.
+	CallFailed bool `msgpack:"f,omitempty"`
 	// SlotSummary is set at intervals for a node whose server is of the same service.
 	SlotSummary slots.Summary `msgpack:"k,omitempty"`
 	// Ticket identifies the slot that is reserved for the request.
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -141,9 +141,16 @@
 		return nil, n.logRejected(r.ID, fault.New(fault.KindNotFound, "no route for host %q and path %.80q in version %d", r.Host, r.URI, table.Document.Version))
 	}
 	d := dispatch{dispatcher: &n.dispatcher, request: n.dispatcher.prepare(r, rt, service), attempts: rt.MaxAttempts}
+	parent, isCall := n.serverProxy.runs.Parent(r.Parent)
+	if isCall {
+		d.request = d.request.AsCall(parent.CallPriority(rt.Priority))
+	}
 	ctx, cancel := context.WithDeadline(ctx, d.request.Deadline)
 	answer, err := d.run(ctx)
 	n.requestMetrics.observe(d.request, answer, err, time.Since(r.Arrived))
+	if isCall && (err != nil || answer.Status >= http.StatusInternalServerError) {
+		n.serverProxy.runs.CallFailed(r.Parent)
+	}
 	if err != nil {
 		cancel()
 		return nil, err
@@ -212,7 +219,7 @@
 		r.Body = in.Body
 		result = n.serverProxy.serve(ctx, r, m.Ticket)
 	}
-	head := response{Fault: result.err, Ran: result.ran, Load: &result.load, Version: n.follower.version(), Ticket: result.ticket}
+	head := response{Fault: result.err, Ran: result.ran, CallFailed: result.callFailed, Load: &result.load, Version: n.follower.version(), Ticket: result.ticket}
 	if n.directory.summaryDue(string(in.From), time.Now()) {
 		head.SlotSummary = n.serverProxy.summary()
 	}
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/backend"
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/chain"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/retry"
@@ -24,6 +25,8 @@
 	*Options
 	pool  backend.Pool
 	crash crashDetector
+	// runs holds the requests that the server runs.
+	runs chain.Runs
 
 	mu      sync.Mutex
 	limiter slots.Limiter
@@ -62,6 +65,9 @@
 	// unacknowledged is set when the node beside the server did not acknowledge the
 	// request. The request may still run, but most likely the host is gone.
 	unacknowledged bool
+	// callFailed is set when a call failed that the server made for the request, so that
+	// the result says nothing about the server.
+	callFailed bool
 	// ticket identifies the slot that is reserved for the request.
 	ticket uint64
 }
@@ -87,22 +93,24 @@
 		p.release(run)
 		return sendResult{err: err, load: p.load()}
 	}
+	p.runs.Add(r.ID, r.Priority, r.Deadline)
 	answer, failure := p.run(ctx, r)
-	p.leave(run, answer, failure)
+	callFailed := p.runs.Remove(r.ID)
+	p.leave(run, answer, failure, callFailed)
 	if failure != nil && (failure.Kind == fault.KindServerLost || failure.Kind == fault.KindCutShort) {
 		go p.connectionBroken(r, start)
 	} else {
 		p.crash.end(start, failure == nil && answer.Outcome != fault.Refused)
 	}
 	if failure != nil {
-		return sendResult{err: failure, load: p.load(), ran: failure.Outcome != fault.Refused}
+		return sendResult{err: failure, load: p.load(), ran: failure.Outcome != fault.Refused, callFailed: callFailed}
 	}
 	if answer.Outcome == fault.Refused {
 		p.checkMisdirected(answer)
 		return sendResult{load: p.load(), err: fault.New(fault.KindShed, "the backend server did not run the request: status %d", answer.Status)}
 	}
 	answer.Load = p.load()
-	return sendResult{answer: answer, load: answer.Load, ran: true}
+	return sendResult{answer: answer, load: answer.Load, ran: true, callFailed: callFailed}
 }
 
 // connectionBroken checks whether the server has crashed, after the connection of a
@@ -235,16 +243,16 @@
 // that stops at the deadline answers shortly after it.
 const answerGrace = 300 * time.Millisecond
 
-func (p *serverProxy) leave(run *slots.Run, answer *call.Answer, failure *fault.Error) {
+func (p *serverProxy) leave(run *slots.Run, answer *call.Answer, failure *fault.Error, callFailed bool) {
 	succeeded := failure == nil && answer.Outcome != fault.Refused && answer.Status < http.StatusInternalServerError
 	// A missed deadline counts as a failure of the server; a caller that disconnected
-	// before its deadline does not.
+	// before its deadline and a failed call to another service do not.
 	callerLeft := failure != nil && failure.Kind == fault.KindDeadline && time.Now().Before(run.Deadline)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limiter.Leave(run, succeeded, time.Now())
 	wasUnhealthy := p.limiter.Health.Unhealthy()
-	if !callerLeft {
+	if succeeded || !callerLeft && !callFailed {
 		p.limiter.Health.Observe(!succeeded)
 	}
 	if unhealthy := p.limiter.Health.Unhealthy(); unhealthy != wasUnhealthy {
--- a/pkg/placement/search_test.go
+++ b/pkg/placement/search_test.go
@@ -13,7 +13,9 @@
 func TestSearch(t *testing.T) {
 	now := time.Unix(1000, 0)
 	idle := func(id string) Server { return Server{ID: id, Limit: 10, Seen: now} }
-	slow := func(id string) Server { return Server{ID: id, Limit: 10, Slowdown: 5, SlowFor: 150 * time.Millisecond, Seen: now} }
+	slow := func(id string) Server {
+		return Server{ID: id, Limit: 10, Slowdown: 5, SlowFor: 150 * time.Millisecond, Seen: now}
+	}
 	full := func(id string) Server { return Server{ID: id, Limit: 10, Running: 10, Wait: time.Second, Seen: now} }
 	for name, c := range map[string]struct {
 		servers            []Server
--- a/pkg/slots/limiter.go
+++ b/pkg/slots/limiter.go
@@ -407,4 +407,4 @@
 		load.SlowFor = l.Slowdown.Period()
 	}
 	return load
-}
+}
