Schedule large answers on the link of the host

A dozen connections send as fast as their windows allow, so hundreds of kilobytes queue at the link.

Load pattern: answers of 90 KB use most of a link of 12 Mbit/s.

Change: uplink.Link schedules what a node answers to other nodes. The limiter counts the expected transfer of a route's answers as a part of its duration: a request that would miss its objective goes to another host, and is refused at the last.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -20,6 +20,7 @@
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
 	"github.com/vanillasail/vanillasail/pkg/slots"
+	"github.com/vanillasail/vanillasail/pkg/uplink"
 )
 
 // Node is one node of the system, beside one backend server.
@@ -37,6 +38,8 @@
 	peers          peer.Client
 	peerServer     peer.Server
 	requestMetrics requestMetrics
+	// uplink schedules the answers to other nodes.
+	uplink uplink.Link
 
 	// runCtx ends when the node stops.
 	runCtx   context.Context
@@ -107,7 +110,9 @@
 		Node: o.Node, Start: time.Now().UnixMilli(), Domain: o.Domain, Region: o.Region, Service: o.Service,
 	}
 	n.peers.Hello = []byte(o.Node)
-	n.peerServer.Handler = n.answer
+	n.uplink.SetRate(o.LinkRate)
+	n.serverProxy.uplink = &n.uplink
+	n.peerServer.Handler, n.peerServer.Uplink = n.answer, &n.uplink
 	n.callers.Calls, n.callers.Dialect = n, o.Dialect
 	n.bodies.Max = o.MaxBodies
 	n.callers.Memory = &n.bodies
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -86,6 +86,9 @@
 	// MaxBodies bounds the bodies of callers' requests that the node holds at a time,
 	// in bytes; zero means no bound.
 	MaxBodies int64
+	// LinkRate is the rate of the host's network link in bits per second; zero means
+	// that it is not known.
+	LinkRate float64
 	// Dialect is the set of headers that callers use.
 	Dialect caller.Dialect
 	// Fresh is set when the whole system starts for the first time, so that the
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -16,6 +16,7 @@
 	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/slots"
+	"github.com/vanillasail/vanillasail/pkg/uplink"
 )
 
 // serverProxy runs requests on the backend server beside this node. All requests to
@@ -25,6 +26,10 @@
 	*Options
 	pool  backend.Pool
 	crash crashDetector
+	// uplink is the link over which answers leave the host.
+	uplink *uplink.Link
+	// answerBytes holds the mean size of the answers of each route.
+	answerBytes map[string]float64
 	// runs holds the requests that the server runs.
 	runs chain.Runs
 
@@ -109,6 +114,9 @@
 		p.checkMisdirected(answer)
 		return sendResult{load: p.load(), err: fault.New(fault.KindShed, "the backend server did not run the request: status %d", answer.Status)}
 	}
+	if answer.Length >= 0 {
+		p.observeAnswer(r.Route, answer.Length)
+	}
 	answer.Load = p.load()
 	return sendResult{answer: answer, load: answer.Load, ran: true, callFailed: callFailed}
 }
@@ -137,7 +145,7 @@
 	woken := make(chan bool, 1)
 	now := time.Now()
 	request := slots.Request{
-		Kind: r.Route, Priority: r.Priority, Objective: r.Due(), Deadline: r.Deadline, Last: r.Last,
+		Kind: r.Route, Transfer: p.transfer(r), Priority: r.Priority, Objective: r.Due(), Deadline: r.Deadline, Last: r.Last,
 		Wake: func(run bool) { woken <- run },
 	}
 	for {
@@ -169,6 +177,35 @@
 	}
 }
 
+// answerWeight is the weight of the newest answer in the mean size of a route's answers.
+const answerWeight = 0.1
+
+// observeAnswer records the size of an answer.
+func (p *serverProxy) observeAnswer(route string, bytes int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answerBytes == nil {
+		p.answerBytes = make(map[string]float64)
+	}
+	mean, known := p.answerBytes[route]
+	if !known {
+		mean = float64(bytes)
+	}
+	p.answerBytes[route] = mean + answerWeight*(float64(bytes)-mean)
+}
+
+// transfer returns how long the answer to a request will take on the host's link. Small
+// answers do not wait for large ones.
+func (p *serverProxy) transfer(r call.Request) time.Duration {
+	p.mu.Lock()
+	bytes := int(p.answerBytes[r.Route])
+	p.mu.Unlock()
+	if p.uplink == nil || bytes < minReserveBytes {
+		return 0
+	}
+	return p.uplink.Transfer(bytes, time.Now())
+}
+
 func (p *serverProxy) wait(ctx context.Context, run *slots.Run, until time.Duration, woken <-chan bool) (*slots.Run, *fault.Error) {
 	timer := time.NewTimer(until)
 	defer timer.Stop()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -28,6 +30,12 @@
 	Rest io.ReadCloser
 }
 
+// Uplink schedules what is sent on the link of this host.
+type Uplink interface {
+	// Schedule schedules n bytes and returns how long to wait before they are sent.
+	Schedule(n int, now time.Time) time.Duration
+}
+
 // Handler serves one request. ctx is canceled when the client cancels the request or
 // its connection ends.
 type Handler func(ctx context.Context, r Incoming) Reply
@@ -37,6 +45,8 @@
 	Handler Handler
 	// MaxBody bounds the body of one request in bytes; zero means 64 MB.
 	MaxBody int
+	// Uplink schedules the answers; nil means that they are sent at once.
+	Uplink Uplink
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -203,18 +213,39 @@
 		return
 	}
 	out := net.Buffers{append(appendHeader(nil, frameHead, id, len(reply.Head)), reply.Head...)}
-	if reply.Rest == nil {
+	if reply.Rest == nil && len(reply.Payload) <= dataFrameSize {
+		a.schedule(s, len(reply.Head)+len(reply.Payload), false)
 		_ = a.socket.send(appendBody(out, id, reply.Payload)) // a failed write ends the connection
 		return
 	}
-	if len(reply.Payload) > 0 {
-		out = append(out, appendHeader(nil, frameData, id, len(reply.Payload)), reply.Payload)
-		a.mu.Lock()
-		s.window -= len(reply.Payload)
-		a.mu.Unlock()
+	a.schedule(s, len(reply.Head), false)
+	if a.socket.send(out) != nil {
+		return
+	}
+	rest := io.Reader(bytes.NewReader(reply.Payload))
+	if reply.Rest != nil {
+		rest = io.MultiReader(rest, reply.Rest)
+	}
+	a.sendBody(id, s, rest)
+}
+
+// schedule schedules n bytes of an answer. If they are a part of a large one, it waits
+// until the link is free for them; it returns false if the request is canceled.
+func (a *serverConn) schedule(s *serverStream, n int, large bool) bool {
+	if a.server.Uplink == nil {
+		return true
+	}
+	wait := a.server.Uplink.Schedule(n, time.Now())
+	if !large || wait <= 0 {
+		return true
 	}
-	if a.socket.send(out) == nil {
-		a.sendBody(id, s, reply.Rest)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.ctx.Done():
+		return false
 	}
 }
 
@@ -224,7 +255,7 @@
 	for {
 		n, err := rest.Read(buf)
 		if n > 0 {
-			if !a.reserveWindow(s, n) || a.socket.frame(frameData, id, buf[:n]) != nil {
+			if !a.reserveWindow(s, n) || !a.schedule(s, n, true) || a.socket.frame(frameData, id, buf[:n]) != nil {
 				return
 			}
 		}
--- a/pkg/slots/limiter.go
+++ b/pkg/slots/limiter.go
@@ -44,6 +44,8 @@
 type Request struct {
 	// Kind groups requests of similar duration.
 	Kind string
+	// Transfer is how long the answer takes on the host's link after the run.
+	Transfer time.Duration
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Objective is the time after which the answer loses most of its value, Deadline
@@ -182,7 +184,7 @@
 		return nil, HandBack
 	}
 	run := &Run{Request: req, entered: now}
-	work := l.UsualDuration(req.Kind)
+	work := l.UsualDuration(req.Kind) + req.Transfer
 	late := !req.Objective.IsZero() && now.Add(work).After(req.Objective)
 	slotFree := l.running < l.Limit.Current() && !l.hasQueued(req.Priority)
 	if late && req.Last && !l.lateSlotFree(now) {
@@ -195,6 +197,8 @@
 		return nil, Probe
 	}
 	switch {
+	case late && req.Transfer > 0 && !req.Last:
+		return nil, HandBack // the link of another host may be free
 	case slotFree && l.shouldStart(req, work, now):
 		l.start(run, now)
 		return run, Start
@@ -353,7 +357,7 @@
 
 // keepsWaiting reports whether a run should stay queued.
 func (l *Limiter) keepsWaiting(r *Run, now time.Time) bool {
-	work := l.UsualDuration(r.Kind)
+	work := l.UsualDuration(r.Kind) + r.Transfer
 	switch {
 	case l.closed:
 		return false
