Send requests straight to a failing server when all servers fail

Cause: while all servers of a service shed half of their requests, each is unhealthy and hands requests back except for ten trials per second.

Load pattern: all servers of a service shed or fail a part of their requests.

Change: if the best server is known to be unhealthy, it is the last that a request tries, and the last one does not hand back for its health.

--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -177,6 +177,12 @@
 	return cost
 }
 
+// failing reports whether the server is known to fail many of its requests. If such a
+// server is the best, all others fail too, and it would hand the request back.
+func (s *Server) failing(now time.Time) bool {
+	return s.Unhealthy && now.Sub(s.Seen) <= maxLoadAge
+}
+
 // Full reports whether the server is known to have no free slot.
 func (s *Server) Full(now time.Time) bool {
 	age := now.Sub(s.Seen)
--- a/pkg/placement/search_test.go
+++ b/pkg/placement/search_test.go
@@ -17,6 +17,7 @@
 		return Server{ID: id, Limit: 10, Slowdown: 5, SlowFor: 150 * time.Millisecond, Seen: now}
 	}
 	full := func(id string) Server { return Server{ID: id, Limit: 10, Running: 10, Wait: time.Second, Seen: now} }
+	failing := func(id string) Server { return Server{ID: id, Limit: 10, Unhealthy: true, Seen: now} }
 	for name, c := range map[string]struct {
 		servers            []Server
 		handedBack, failed []string
@@ -31,6 +32,8 @@
 		"one is left":            {servers: []Server{slow("a"), idle("b")}, handedBack: []string{"a"}, last: true, ok: true, capacityElsewhere: true},
 		"known to be full":       {servers: []Server{full("a"), full("b")}, last: true, ok: true},
 		"too many hand-backs":    {servers: []Server{slow("a"), slow("b"), slow("c"), slow("d"), slow("e"), idle("f"), idle("g")}, handedBack: []string{"a", "b", "c", "d", "e"}, last: true, ok: true, capacityElsewhere: true},
+		"all fail":               {servers: []Server{failing("a"), failing("b")}, last: true, ok: true, capacityElsewhere: true},
+		"one does not fail":      {servers: []Server{failing("a"), idle("b")}, ok: true, capacityElsewhere: true},
 		"refused too often":      {servers: []Server{idle("a"), idle("b"), idle("c"), idle("d"), idle("e")}, failed: []string{"a", "b", "c"}, ok: true},
 		"refused once":           {servers: []Server{full("a"), idle("b"), idle("c")}, failed: []string{"a"}, ok: true, capacityElsewhere: true},
 		"the others are full":    {servers: []Server{idle("a"), full("b"), full("c")}, failed: []string{"a"}, last: true, ok: true},
