Bound what is read of answers that nobody gets

Cause: a server in trouble may send bytes without end. The body of an answer to an earlier request was skipped without a limit, up to 64 KB of a body were read although its header already showed that it had no seal, and a probe read any header and body. The request or probe was held until its deadline, and the caller was told of a missed deadline.

Change: skipped bodies and those of probes are limited to 64 KB, headers of probes like other headers, and the seal is checked before the body is read. The connection is closed and the request fails at once as cut short.

Result: go test ./internal/backend; eight of the new cases fail without the change, after 10 s (TestPoolRejectsInvalidAnswers, four) and 30 s (TestProbeIsBounded, four).

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -54,6 +54,9 @@
 	maxHeader = 64 << 10
 	// maxSkipped is the maximum number of answers to other requests that are skipped.
 	maxSkipped = 4
+	// maxSkippedBody is the size limit of the body of a skipped answer or of a probe's,
+	// in bytes. A server in trouble may send bytes without end.
+	maxSkippedBody = 64 << 10
 )
 
 // serverConn is one connection to the server.
@@ -95,16 +98,16 @@
 		p.Observe(load)
 	}
 	p.keepAlive(c, response)
-	first, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswer))
-	if err != nil {
+	if p.HeaderNames.unsealed(response.StatusCode, response.Header) {
 		stop()
 		_ = c.Close()
-		return nil, classifySent(ctx, err)
+		return nil, fault.New(fault.KindCutShort, "backend server's answer has no seal")
 	}
-	if p.HeaderNames.unsealed(response.StatusCode, response.Header) {
+	first, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswer))
+	if err != nil {
 		stop()
 		_ = c.Close()
-		return nil, fault.New(fault.KindCutShort, "backend server's answer has no seal")
+		return nil, classifySent(ctx, err)
 	}
 	notRun := p.HeaderNames.notRun(response.StatusCode, response.Header)
 	call.RemoveHopHeaders(response.Header)
@@ -180,7 +183,7 @@
 			return response, nil
 		}
 		c.mustClose = true
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := discard(response.Body); err != nil {
 			return nil, err
 		}
 		if response.Close {
@@ -190,6 +193,18 @@
 	return nil, eris.New("the server answered other requests only")
 }
 
+// discard reads a body to its end and returns an error if it is too long.
+func discard(body io.Reader) error {
+	n, err := io.CopyN(io.Discard, body, maxSkippedBody+1)
+	if err == io.EOF {
+		return nil
+	}
+	if err == nil {
+		err = eris.Errorf("a body of %d bytes or more is over the limit", n)
+	}
+	return err
+}
+
 // keepAlive sets how long the connection may be reused.
 func (p *Pool) keepAlive(c *serverConn, response *http.Response) {
 	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
@@ -378,9 +393,11 @@
 	r := call.Request{Method: http.MethodGet, URI: path, Host: addr}
 	if err = <-p.write(c, r); err == nil {
 		var response *http.Response
+		c.headerLeft = maxHeader
 		response, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.headerLeft = -1
 		if err == nil {
-			_, err = io.Copy(io.Discard, response.Body)
+			err = discard(response.Body)
 			load, _ = p.HeaderNames.parseLoad(response.Header)
 			instance, healthy = response.Header.Get(p.HeaderNames.Instance), response.StatusCode == http.StatusOK
 			p.keepAlive(c, response)
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,16 +48,29 @@
 	once := func(text string) func(net.Conn) {
 		return func(c net.Conn) { _, _ = io.WriteString(c, text) }
 	}
+	silent := func(text string) func(net.Conn) {
+		return func(c net.Conn) {
+			_, _ = io.WriteString(c, text)
+			_, _ = io.Copy(io.Discard, c)
+		}
+	}
 	for name, c := range map[string]struct {
 		write func(net.Conn)
 		kind  fault.Kind
 	}{
-		"endless status line": {endless("HTTP/1.1 200 "), fault.KindCutShort},
-		"endless header":      {endless("HTTP/1.1 200 OK\r\nId: 1\r\nX: "), fault.KindCutShort},
-		"not HTTP":            {once("\x00\x01\x02 nothing\r\n\r\n"), fault.KindCutShort},
-		"no seal":             {once("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n"), fault.KindCutShort},
-		"of another request":  {once("HTTP/1.1 200 OK\r\nId: 2\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"), fault.KindServerLost},
-		"body cut short":      {once("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 9\r\n\r\nshort"), fault.KindServerLost},
+		"endless body of another request": {endless("HTTP/1.1 200 OK\r\nId: 2\r\nSeal: s\r\n\r\n"), fault.KindCutShort},
+		"long body of another request":    {endless("HTTP/1.1 200 OK\r\nId: 2\r\nSeal: s\r\nContent-Length: 1000000000000\r\n\r\n"), fault.KindCutShort},
+		"body without a seal never comes": {silent("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n"), fault.KindCutShort},
+		"endless interim answers":         {repeated("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"), fault.KindCutShort},
+		"endless empty chunks":            {repeatedAfter("HTTP/1.1 200 OK\r\nId: 2\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"), fault.KindCutShort},
+		"endless chunk extension":         {endless("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;"), fault.KindCutShort},
+		"endless trailer":                 {endless("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: "), fault.KindCutShort},
+		"endless status line":             {endless("HTTP/1.1 200 "), fault.KindCutShort},
+		"endless header":                  {endless("HTTP/1.1 200 OK\r\nId: 1\r\nX: "), fault.KindCutShort},
+		"not HTTP":                        {once("\x00\x01\x02 nothing\r\n\r\n"), fault.KindCutShort},
+		"no seal":                         {once("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n"), fault.KindCutShort},
+		"of another request":              {once("HTTP/1.1 200 OK\r\nId: 2\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"), fault.KindServerLost},
+		"body cut short":                  {once("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 9\r\n\r\nshort"), fault.KindServerLost},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := &Pool{HeaderNames: testHeaderNames}
@@ -70,6 +84,39 @@
 	}
 }
 
+// repeated sends a text until the caller closes the connection, repeatedAfter does so
+// after another text.
+func repeated(text string) func(net.Conn) { return repeatedAfter("", text) }
+
+func repeatedAfter(first, text string) func(net.Conn) {
+	return func(c net.Conn) {
+		for _, err := io.WriteString(c, first); err == nil; _, err = io.WriteString(c, text) {
+			continue
+		}
+	}
+}
+
+// Guards against probes that read bytes without end, which would hold the connection
+// and the processor until the probe's time-out.
+func TestProbeIsBounded(t *testing.T) {
+	for name, text := range map[string][2]string{
+		"header": {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"fields": {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+		"body":   {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1024)},
+		"chunks": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var p Pool
+			defer p.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			_, _, healthy, err := p.Probe(ctx, startRawServer(t, repeatedAfter(text[0], text[1])), "/health")
+			assert.Assert(t, err != nil && ctx.Err() == nil, "%v", err)
+			assert.Assert(t, !healthy || err != nil)
+		})
+	}
+}
+
 // Guards against implausible loads, which determine the size of the node's tables,
 // and against a slowdown where the server reports none.
 func TestLoadHeader(t *testing.T) {
