Place large answers by the backlog of links

Cause: a node learned only by a hand-back that the link of a host was busy, and a request whose answer still met its objective waited there although the links of other hosts of the service were free.

Load pattern: answers of 90 KB use most of a link of 12 Mbit/s, unevenly over the hosts.

Change: load figures carry the backlog of the host's link; placement adds it for routes whose answers are large on average. The sizes are learned from all answers of a node.

--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -27,6 +27,8 @@
 	Slowdown float64 `msgpack:"p,omitempty"`
 	// SlowFor is how long the server should be avoided because of a slow period.
 	SlowFor time.Duration `msgpack:"e,omitempty"`
+	// Backlog is how long a large answer of the server waits for the link of its host.
+	Backlog time.Duration `msgpack:"b,omitempty"`
 	// Wait is the expected wait for a slot.
 	Wait time.Duration `msgpack:"w,omitempty"`
 	// Unhealthy is set when many of the server's requests fail.
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -104,7 +104,7 @@
 			s.LocalInFlight, s.Unreachable, s.Avoid = l.sinceObserved, l.reach.Unreachable(), l.avoid
 			if !l.observedAt.IsZero() {
 				s.Seen, s.Running, s.Limit, s.Wait = l.observedAt, l.load.InFlight, l.load.Limit, l.load.Wait
-				s.Slowdown, s.SlowFor = l.load.Slowdown, l.load.SlowFor
+				s.Slowdown, s.SlowFor, s.Backlog = l.load.Slowdown, l.load.SlowFor, l.load.Backlog
 				s.Unhealthy = l.load.Unhealthy
 			}
 		}
--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -72,7 +72,9 @@
 }
 
 func (d *dispatch) placementRequest() placement.Request {
-	return placement.Request{Bytes: len(d.request.Body) + usualAnswerBytes, Work: d.usualDuration()}
+	return placement.Request{
+		Bytes: len(d.request.Body) + usualAnswerBytes, LargeAnswer: d.sizes.mean(d.request.Route) >= minLargeAnswer, Work: d.usualDuration(),
+	}
 }
 
 func (d *dispatch) usualDuration() time.Duration {
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -37,6 +37,9 @@
 	// is sent: a third of all sends is handed back, and the round trip costs less than
 	// sending such a body to a server that does not take the request.
 	minReserveBytes = 8 << 10
+	// minLargeAnswer is the mean size from which a route's answers wait for the link of
+	// the server's host.
+	minLargeAnswer = 16 << 10
 )
 
 // dispatcher places the requests that callers send to this node.
@@ -45,6 +48,8 @@
 	directory   *directory
 	serverProxy *serverProxy
 	peers       *peer.Client
+	// sizes holds the sizes of the answers of all servers.
+	sizes *answerSizes
 	// version returns the version of the configuration in force. onVersion is called
 	// with the configuration version of a node that has replied.
 	version   func() uint64
@@ -193,6 +198,7 @@
 		_ = answer.Body.Close()
 		return result
 	}
+	d.sizes.observe(m.Call.Route, reply.Length)
 	result.answer = &call.Answer{Status: reply.Status, Header: reply.Header, Length: reply.Length, Body: answer.Body, Outcome: fault.Ran, Server: to.Node}
 	return result
 }
--- a/internal/mesh/local_server_test.go
+++ b/internal/mesh/local_server_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/uplink"
 )
 
 // Guards against the slowdown of an earlier server process being applied to the one
@@ -36,7 +37,7 @@
 		"was down for a while": {func(p *serverProxy) { p.down = true; p.serverFound("a", true) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := &serverProxy{Options: &Options{Node: "n1", Service: "s", Log: &log.Logger{Handler: discard.New()}}, changed: func() {}}
+			p := &serverProxy{Options: &Options{Node: "n1", Service: "s", Log: &log.Logger{Handler: discard.New()}}, changed: func() {}, uplink: &uplink.Link{}, sizes: &answerSizes{}}
 			p.report(first)
 			p.limiter.Slowdown.Observe(5, time.Now())
 			c.change(p)
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -40,6 +40,7 @@
 	requestMetrics requestMetrics
 	// uplink schedules the answers to other nodes.
 	uplink uplink.Link
+	sizes  answerSizes
 
 	// runCtx ends when the node stops.
 	runCtx   context.Context
@@ -101,7 +102,7 @@
 	n.serverProxy.probeRate.SetLimit(slots.ProbeRate)
 	n.serverProxy.probeRate.SetBurst(slots.ProbeBurst)
 	n.serverProxy.pool.HeaderNames, n.serverProxy.pool.Observe = o.HeaderNames, n.serverProxy.observe
-	n.dispatcher = dispatcher{Options: o, directory: &n.directory, serverProxy: &n.serverProxy, peers: &n.peers, version: n.follower.version, onVersion: n.versionSeen}
+	n.dispatcher = dispatcher{Options: o, directory: &n.directory, serverProxy: &n.serverProxy, peers: &n.peers, sizes: &n.sizes, version: n.follower.version, onVersion: n.versionSeen}
 	n.follower.Options, n.follower.onApplied, n.follower.onOutage = o, n.onApplied, n.askAnyPeer
 	n.follower.joined = make(chan struct{})
 	n.follower.relays, n.follower.askRelay = n.relays, n.announcer.fetchNext
@@ -111,7 +112,7 @@
 	}
 	n.peers.Hello = []byte(o.Node)
 	n.uplink.SetRate(o.LinkRate)
-	n.serverProxy.uplink = &n.uplink
+	n.serverProxy.uplink, n.serverProxy.sizes = &n.uplink, &n.sizes
 	n.peerServer.Handler, n.peerServer.Uplink = n.answer, &n.uplink
 	n.callers.Calls, n.callers.Dialect = n, o.Dialect
 	n.bodies.Max = o.MaxBodies
--- a/internal/mesh/reserve_test.go
+++ b/internal/mesh/reserve_test.go
@@ -12,10 +12,11 @@
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/uplink"
 )
 
 func newServerProxy(slots int) *serverProxy {
-	p := &serverProxy{Options: &Options{Node: "n1", Service: "s", Log: &log.Logger{Handler: discard.New()}}, changed: func() {}}
+	p := &serverProxy{Options: &Options{Node: "n1", Service: "s", Log: &log.Logger{Handler: discard.New()}}, changed: func() {}, uplink: &uplink.Link{}, sizes: &answerSizes{}}
 	p.report(roster.Report{ID: "i1", State: roster.Ready, Slots: slots, Seq: 1})
 	return p
 }
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -28,8 +28,8 @@
 	crash crashDetector
 	// uplink is the link over which answers leave the host.
 	uplink *uplink.Link
-	// answerBytes holds the mean size of the answers of each route.
-	answerBytes map[string]float64
+	// sizes holds the sizes of the answers of all servers.
+	sizes *answerSizes
 	// runs holds the requests that the server runs.
 	runs chain.Runs
 
@@ -114,9 +114,7 @@
 		p.checkMisdirected(answer)
 		return sendResult{load: p.load(), err: fault.New(fault.KindShed, "the backend server did not run the request: status %d", answer.Status)}
 	}
-	if answer.Length >= 0 {
-		p.observeAnswer(r.Route, answer.Length)
-	}
+	p.sizes.observe(r.Route, answer.Length)
 	answer.Load = p.load()
 	return sendResult{answer: answer, load: answer.Load, ran: true, callFailed: callFailed}
 }
@@ -177,33 +175,13 @@
 	}
 }
 
-// answerWeight is the weight of the newest answer in the mean size of a route's answers.
-const answerWeight = 0.1
-
-// observeAnswer records the size of an answer.
-func (p *serverProxy) observeAnswer(route string, bytes int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.answerBytes == nil {
-		p.answerBytes = make(map[string]float64)
-	}
-	mean, known := p.answerBytes[route]
-	if !known {
-		mean = float64(bytes)
-	}
-	p.answerBytes[route] = mean + answerWeight*(float64(bytes)-mean)
-}
-
 // transfer returns how long the answer to a request will take on the host's link. Small
 // answers do not wait for large ones.
 func (p *serverProxy) transfer(r call.Request) time.Duration {
-	p.mu.Lock()
-	bytes := int(p.answerBytes[r.Route])
-	p.mu.Unlock()
-	if p.uplink == nil || bytes < minReserveBytes {
-		return 0
+	if bytes := p.sizes.mean(r.Route); bytes >= minLargeAnswer {
+		return p.uplink.Transfer(bytes, time.Now())
 	}
-	return p.uplink.Transfer(bytes, time.Now())
+	return 0
 }
 
 func (p *serverProxy) wait(ctx context.Context, run *slots.Run, until time.Duration, woken <-chan bool) (*slots.Run, *fault.Error) {
@@ -334,7 +312,7 @@
 	l := p.limiter.Load(time.Now())
 	return call.Load{
 		InFlight: l.Running, Queued: l.Waiting, Slots: l.Slots, Limit: l.Limit, Slowdown: l.Slowdown, SlowFor: l.SlowFor, Wait: l.Wait, Unhealthy: p.limiter.Health.Unhealthy(),
-		Draining: p.server.State != roster.Ready || p.down,
+		Draining: p.server.State != roster.Ready || p.down, Backlog: p.uplink.Transfer(0, time.Now()),
 	}
 }
 
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -40,13 +40,15 @@
 type Server struct {
 	ID       string
 	Distance Distance
-	// Running, Limit, Slowdown, SlowFor and Wait are the figures of the last answer or
-	// refusal.
+	// Running, Limit, Slowdown, SlowFor, Wait and Backlog are the figures of the last
+	// answer or refusal.
 	Running, Limit int
 	Slowdown       float64
 	// SlowFor is how long after Seen the server may still be in a slow period.
 	SlowFor time.Duration
 	Wait    time.Duration
+	// Backlog is how long a large answer waits for the link of the server's host.
+	Backlog time.Duration
 	// Unhealthy is set when the server's failure rate is high.
 	Unhealthy bool
 	// Seen is when these figures arrived; zero means never.
@@ -67,6 +69,8 @@
 type Request struct {
 	// Bytes is the size of the body plus the expected size of the answer.
 	Bytes int
+	// LargeAnswer is set if the answer waits for the link of the server's host.
+	LargeAnswer bool
 	// Work is the usual duration of such a request.
 	Work time.Duration
 	// Tried lists the servers that have handed the request back. Their load figures
@@ -153,6 +157,9 @@
 	if now.Before(s.WarmingUntil) {
 		score += warmUpCost
 	}
+	if r.LargeAnswer && !s.Seen.IsZero() {
+		score += max(s.Backlog-now.Sub(s.Seen), 0)
+	}
 	return score + s.loadCost(r.Work, now)
 }
 
--- a/pkg/placement/pick_test.go
+++ b/pkg/placement/pick_test.go
@@ -18,7 +18,8 @@
 		change(&s)
 		return s
 	}
-	const lookup, upload = 2 << 10, 60 << 10
+	// The answers of downloads are large; their size does not count towards bytes.
+	const lookup, upload, download = 2 << 10, 60 << 10, 1 << 10
 	for name, c := range map[string]struct {
 		servers []Server
 		bytes   int
@@ -44,6 +45,12 @@
 		"an upload waits rather than leaves its region": {
 			[]Server{with(near, func(s *Server) { s.Wait = 100 * time.Millisecond }), far}, upload, []string{"near"}, "near",
 		},
+		"a large answer avoids a busy link": {
+			[]Server{with(near, func(s *Server) { s.Backlog = 200 * time.Millisecond }), far}, download, nil, "far",
+		},
+		"a small answer does not wait for a link": {
+			[]Server{with(near, func(s *Server) { s.Backlog = 200 * time.Millisecond }), far}, lookup, nil, "near",
+		},
 		"a failing server is the last": {
 			[]Server{with(near, func(s *Server) { s.Avoid = now.Add(time.Second) }), far}, lookup, nil, "far",
 		},
@@ -68,7 +75,7 @@
 		t.Run(name, func(t *testing.T) {
 			for range 50 { // ties are broken at random
 				costs := DefaultCosts
-				choice, ok := costs.Pick(c.servers, Request{Bytes: c.bytes, Work: 100 * time.Millisecond, Tried: c.tried}, now)
+				choice, ok := costs.Pick(c.servers, Request{Bytes: c.bytes, LargeAnswer: c.bytes == download, Work: 100 * time.Millisecond, Tried: c.tried}, now)
 				assert.Assert(t, ok)
 				assert.Equal(t, choice.Server.ID, c.want)
 			}
