Survive a panic in a request of a peer, and await answers that are being sent

Cause: a panic in the handler of a peer's request ended the process with all its requests. A stop waited for handlers of peers' requests but not for the sending of their answers, which may now wait for the link, so that it could cut off a large answer.

Change: the request whose handler panics fails as truncated, the connection and the process go on and the panic is logged. Stop waits until all answers were sent, within its grace.

Result: go test -race -count 3 ./internal/peer; without the changes TestPanicEndsOneRequest ends the test process, and Sending does not exist.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -118,9 +118,7 @@
 	n.bodies.Max = o.MaxBodies
 	n.callers.Memory = &n.bodies
 	n.callers.Repeatable = n.repeatable
-	n.callers.Panicked = func(cause any, stack []byte) {
-		n.Log.WithField("cause", cause).WithField("stack", string(stack)).Error("handler of a caller's request panicked")
-	}
+	n.callers.Panicked, n.peerServer.Panicked = n.panicked, n.panicked
 	n.callers.Rejected = func(id string, err *fault.Error) { _ = n.logRejected(id, err) }
 }
 
@@ -175,6 +173,11 @@
 	return table != nil && table.Idempotent(r.Host, r.URL.EscapedPath())
 }
 
+// panicked logs the panic of a handler.
+func (n *Node) panicked(cause any, stack []byte) {
+	n.Log.WithField("cause", cause).WithField("stack", string(stack)).Error("handler of a request panicked")
+}
+
 // logRejected logs a request that failed before placement, and returns the error.
 func (n *Node) logRejected(id string, err *fault.Error) *fault.Error {
 	n.Log.WithField("id", id).WithField("kind", string(err.Kind)).WithField("status", err.Status).
@@ -363,9 +366,7 @@
 	n.follower.releaseFollowers()
 	n.announcer.update(n.runCtx, func(e *roster.Entry) { e.Stopping = true })
 	left := n.callers.Drain(ctx, drainNotice)
-	for n.inFlight.Load() > 0 && ctx.Err() == nil {
-		clock.Sleep(ctx, tickInterval/4)
-	}
+	n.awaitPeers(ctx)
 	n.Log.WithField("node", n.Node()).WithField("left", left).WithField("peers", n.inFlight.Load()).Info("node stopped")
 	n.cancel()
 	n.callers.Close()
@@ -374,6 +375,16 @@
 	n.serverProxy.pool.Close()
 }
 
+// awaitPeers waits until the requests of peers have ended and their answers were sent.
+// An answer counts as neither for a moment, so both must be zero twice.
+func (n *Node) awaitPeers(ctx context.Context) {
+	for idle := 0; idle < 2 && ctx.Err() == nil; clock.Sleep(ctx, tickInterval/4) {
+		if idle++; n.inFlight.Load() > 0 || n.peerServer.Sending() > 0 {
+			idle = 0
+		}
+	}
+}
+
 // readyStatus maps readiness to the status of a readiness probe.
 var readyStatus = map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable}
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/vanillasail/vanillasail/internal/standin/relay"
 )
@@ -48,6 +49,68 @@
 	assert.Equal(t, c.Links(), 1)
 }
 
+// busyUplink delays the parts of large answers until their request is canceled.
+type busyUplink struct{}
+
+func (busyUplink) Schedule(n int, _ time.Time) time.Duration {
+	if n < dataFrameSize {
+		return 0
+	}
+	return time.Hour
+}
+
+// Guards against small answers that wait for large ones, and against a stop that does
+// not see an answer whose parts wait.
+func TestLargeAnswersWaitForTheUplink(t *testing.T) {
+	s := &Server{Uplink: busyUplink{}, Handler: func(_ context.Context, r Incoming) Reply { return Reply{Payload: r.Body} }}
+	assert.NilError(t, s.Listen("127.0.0.1:0"))
+	defer s.Close()
+	c := &Client{Hello: []byte("n1")}
+	defer c.Close()
+	large, err := c.Call(t.Context(), s.Addr(), Request{Body: make([]byte, 3*dataFrameSize)})
+	assert.NilError(t, err)
+	small, err := c.Call(t.Context(), s.Addr(), Request{Body: []byte("small")})
+	assert.NilError(t, err)
+	body, err := io.ReadAll(small.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "small")
+	awaitSending(t, s, 1)
+	assert.NilError(t, large.Body.Close())
+	awaitSending(t, s, 0)
+}
+
+func awaitSending(t *testing.T, s *Server, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := s.Sending(); n != want {
+			return poll.Continue("%d answers are being sent", n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// Guards against a panic of a handler that ends the process or the connection.
+func TestPanicEndsOneRequest(t *testing.T) {
+	panics := make(chan any, 1)
+	s := &Server{Panicked: func(cause any, _ []byte) { panics <- cause }}
+	s.Handler = func(_ context.Context, r Incoming) Reply {
+		if len(r.Head) == 0 {
+			panic("broken")
+		}
+		return Reply{Head: r.Head}
+	}
+	assert.NilError(t, s.Listen("127.0.0.1:0"))
+	defer s.Close()
+	c := &Client{Hello: []byte("n1")}
+	defer c.Close()
+	_, err := c.Call(t.Context(), s.Addr(), Request{})
+	assert.ErrorIs(t, err, ErrTruncated)
+	assert.Equal(t, <-panics, "broken")
+	_, err = c.Call(t.Context(), s.Addr(), Request{Head: []byte("h")})
+	assert.NilError(t, err)
+	assert.Equal(t, c.Links(), 1)
+}
+
 type failingReader struct{ io.Reader }
 
 func (f failingReader) Read(p []byte) (int, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,7 +7,9 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,13 +47,18 @@
 	Handler Handler
 	// MaxBody bounds the body of one request in bytes; zero means 64 MB.
 	MaxBody int
+	// Panicked is called when the handler has panicked; the client's request then fails
+	// as truncated. It may be nil.
+	Panicked func(cause any, stack []byte)
 	// Uplink schedules the answers; nil means that they are sent at once.
 	Uplink Uplink
 
 	listener net.Listener
-	mu       sync.Mutex
-	conns    map[*serverConn]struct{}
-	closed   bool
+	// sending counts the answers that are being sent.
+	sending atomic.Int64
+	mu      sync.Mutex
+	conns   map[*serverConn]struct{}
+	closed  bool
 }
 
 const defaultMaxBody = 64 << 20
@@ -93,6 +100,10 @@
 	}
 }
 
+// Sending returns the number of answers that are being sent. It counts an answer from
+// the moment that the handler has returned it.
+func (s *Server) Sending() int { return int(s.sending.Load()) }
+
 // Close stops listening and closes all connections.
 func (s *Server) Close() {
 	_ = s.listener.Close()
@@ -205,6 +216,7 @@
 
 func (a *serverConn) answer(id uint32, s *serverStream) {
 	defer a.removeStream(id)
+	defer a.recover(id)
 	reply := a.server.Handler(s.ctx, Incoming{From: a.hello, Head: s.head, Body: s.body})
 	if reply.Rest != nil {
 		defer reply.Rest.Close()
@@ -212,6 +224,8 @@
 	if s.ctx.Err() != nil {
 		return
 	}
+	a.server.sending.Add(1)
+	defer a.server.sending.Add(-1)
 	out := net.Buffers{append(appendHeader(nil, frameHead, id, len(reply.Head)), reply.Head...)}
 	if reply.Rest == nil && len(reply.Payload) <= dataFrameSize {
 		a.schedule(s, len(reply.Head)+len(reply.Payload), false)
@@ -229,6 +243,18 @@
 	a.sendBody(id, s, rest)
 }
 
+// recover ends a request whose handler has panicked, so that the process goes on.
+func (a *serverConn) recover(id uint32) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if a.server.Panicked != nil {
+		a.server.Panicked(cause, debug.Stack())
+	}
+	_ = a.socket.frame(frameReset, id, nil)
+}
+
 // schedule schedules n bytes of an answer. If they are a part of a large one, it waits
 // until the link is free for them; it returns false if the request is canceled.
 func (a *serverConn) schedule(s *serverStream, n int, large bool) bool {
