--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -34,12 +34,12 @@
 
 // Usage implements subcommands.Command.
 func (*experimentCommand) Usage() string {
-	return "vanillasail experiment [-patterns LIST] [-cases LIST] [-policies LIST] [-loads LIST] [-servers N]\n                       [-seeds N] [-time DURATION] [-output table|csv|json|svg]\n\nEmulates servers that other workloads on their hosts slow down for periods of\n150 ms, on a fake clock and without a network. Servers of the pattern knee also\nslow down when nearly all of their slots are busy. A load of 1 is the usual load\nof the pattern. LIST is one or more values separated by commas.\n\nExample: vanillasail experiment -patterns knee -cases steady,burst -output svg > burst.svg\n"
+	return "vanillasail experiment [-patterns LIST] [-cases LIST] [-policies LIST] [-loads LIST] [-servers N]\n                       [-seeds N] [-time DURATION] [-output table|csv|json|svg]\n\nEmulates servers that other workloads on their hosts slow down for periods of\n150 ms, or 500 ms in the pattern long, on a fake clock and without a network.\nServers of the pattern knee also slow down when nearly all of their slots are\nbusy. A load of 1 is the usual load of the pattern. LIST is one or more\nvalues separated by commas.\n\nExample: vanillasail experiment -patterns knee -cases steady,burst -output svg > burst.svg\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *experimentCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.patterns, "patterns", "knee,flat", "server patterns: knee (slower when nearly all slots are busy), flat (not)")
+	f.StringVar(&c.patterns, "patterns", "knee,flat", "server patterns: knee (slower when nearly all slots are busy), flat (not), long (long slow periods)")
 	f.StringVar(&c.cases, "cases", "steady", "disturbances: steady (none), burst, cold (slow servers), fewer (servers)")
 	f.StringVar(&c.policies, "policies", strings.Join(pacing.Policies(), ","), "policies to compare")
 	f.StringVar(&c.loads, "loads", "1,1.25,1.6", "multiples of the usual load")
