Bound what the nodes with settings read of answers without end

Cause: net/http reads 10 MB of an answer's header by default. A body that breaks the framing at its start, by a chunk extension, a size or trailers without end, ended the caller's connection without any answer, because the header of the answer was passed on before the first byte of the body.

Change: headers of answers are limited to 64 KB, and the first bytes of a body are awaited before an answer is passed on. Otherwise the caller gets 502 with the outcome unknown.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -28,6 +28,10 @@
 	// unnoticed, and a new connection takes only about 1 ms.
 	idleTimeout = 3 * time.Second
 	maxIdle     = 64
+	// firstRead is the number of bytes of a body that are read at most before an answer
+	// is passed on. If there is no first byte, the caller gets an error with its own
+	// status.
+	firstRead = 4 << 10
 )
 
 // Client sends requests to one backend server. Its zero value is ready to use.
@@ -49,6 +53,8 @@
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeader,
 	}
 	if c.transport.CompareAndSwap(nil, t) {
 		return t
@@ -72,16 +78,32 @@
 		return nil, classify(ctx, err, sent.Load())
 	}
 	call.RemoveHopHeaders(response.Header)
+	body, err := startBody(response.Body)
+	if err != nil {
+		return nil, classify(ctx, err, true)
+	}
 	return &call.Answer{
 		Status:    response.StatusCode,
 		Header:    response.Header,
 		Length:    answerLength(r, response),
-		Body:      &checkedBody{ReadCloser: response.Body},
+		Body:      body,
 		Allowance: allowance(response.Header, r.Allowance),
 		Outcome:   fault.Ran,
 	}, nil
 }
 
+// startBody waits for the first bytes of a body or its end, and closes the body on any
+// other error.
+func startBody(body io.ReadCloser) (io.ReadCloser, error) {
+	first := make([]byte, firstRead)
+	n, err := io.ReadAtLeast(body, first, 1)
+	if err != nil && err != io.EOF {
+		_ = body.Close()
+		return nil, err
+	}
+	return &checkedBody{Reader: io.MultiReader(bytes.NewReader(first[:n]), body), Closer: body}, nil
+}
+
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() { c.roundTripper().CloseIdleConnections() }
 
@@ -194,11 +216,14 @@
 }
 
 // checkedBody returns a typed error if the body is cut short.
-type checkedBody struct{ io.ReadCloser }
+type checkedBody struct {
+	io.Reader
+	io.Closer
+}
 
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.Reader.Read(p)
 	if err != nil && err != io.EOF {
 		err = fault.New(fault.KindCutShort, "backend server's answer was cut short: %v", err)
 	}
