Decode what other nodes wrote with the bounded decoder everywhere

Result: go test ./internal/mesh ./internal/gossip passes; without the change TestOversizedMessagesDoNotGrowTheBuffer fails.

--- a/internal/gossip/sweeper.go
+++ b/internal/gossip/sweeper.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/internal/table"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/member"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 const (
@@ -118,7 +118,7 @@
 	}
 	for _, r := range rows {
 		var m row
-		if msgpack.Unmarshal(r.Value, &m) != nil || m.ID == "" {
+		if wire.Unmarshal(r.Value, &m) != nil || m.ID == "" {
 			continue
 		}
 		if _, visible := known.Get(m.ID); visible {
--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -6,12 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 const (
@@ -214,7 +213,7 @@
 	defer answer.Body.Close()
 	a.directory.markReachable(to.Node)
 	var reply response
-	return reply, msgpack.Unmarshal(answer.Head, &reply)
+	return reply, wire.Unmarshal(answer.Head, &reply)
 }
 
 // confirm records that a peer has a change of the entry; zero means that the peer
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/fault"
@@ -15,6 +13,7 @@
 	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 const (
@@ -182,7 +181,7 @@
 	}
 	d.directory.markReachable(to.Node)
 	var reply response
-	if err := msgpack.Unmarshal(answer.Head, &reply); err != nil {
+	if err := wire.Unmarshal(answer.Head, &reply); err != nil {
 		_ = answer.Body.Close()
 		return sendResult{err: fault.New(fault.KindCutShort, "reply of node %s: %v", to.Node, err), ran: true}
 	}
--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // fetchIfNewer fetches the configuration of another node in the background if its
@@ -63,7 +63,7 @@
 	defer answer.Body.Close()
 	a.directory.markReachable(from.Node)
 	var reply response
-	if err := msgpack.Unmarshal(answer.Head, &reply); err != nil {
+	if err := wire.Unmarshal(answer.Head, &reply); err != nil {
 		return nil, eris.Wrap(err, "reply of another node")
 	}
 	if reply.Fault != nil {
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -12,6 +12,7 @@
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/slots"
+	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
 // message is the head of a request between nodes. Exactly one of Call, Reserve,
@@ -71,7 +72,7 @@
 
 func decodeMessage(raw []byte) (message, error) {
 	var m message
-	if err := msgpack.Unmarshal(raw, &m); err != nil {
+	if err := wire.Unmarshal(raw, &m); err != nil {
 		return m, fault.New(fault.KindBadRequest, "decode the message of a peer: %v", err).
 			WithRemedy("run the same version on all nodes")
 	}
--- a/internal/mesh/message_test.go
+++ b/internal/mesh/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -49,3 +50,17 @@
 		}
 	})
 }
+
+// Guards against a buffer that grows with each short message of a peer whose length
+// field announces a long string.
+func TestOversizedMessagesDoNotGrowTheBuffer(t *testing.T) {
+	for range 40 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := decodeMessage([]byte("\x81\xa1c\x81\xa1i\xdb\xff\xff\xff\xff"))
+		runtime.ReadMemStats(&after)
+		assert.Assert(t, err != nil)
+		n := after.TotalAlloc - before.TotalAlloc
+		assert.Assert(t, n < 4<<20, "%d bytes", n)
+	}
+}
