Survive a panic in a request of another node with settings

Cause: a panic in the handler of a request that came over QUIC ended the process with all its requests, like that of a peer of package mesh.

Change: the request fails with the outcome unknown and the panic is logged.

Result: go test -race -run TestCall ./internal/node; its case "panic" ends the test process without the change.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -98,13 +98,16 @@
 	n.measuring.assemble(n)
 	n.telemetry.assemble(n)
 	n.callers.Calls, n.callers.Rules, n.callers.Limits.Body = n, &n.config, n.MaxBody
-	n.callers.Panicked = func(cause any, stack []byte) {
-		n.Log.WithField("cause", cause).WithField("stack", string(stack)).Error("handler of a caller's request panicked")
-	}
+	n.callers.Panicked, n.transport.Panicked = n.panicked, n.panicked
 	n.announceServer.Handler = n.handleAnnounce
 	return n.operators.assemble(n)
 }
 
+// panicked logs the panic of a handler.
+func (n *Node) panicked(cause any, stack []byte) {
+	n.Log.WithField("cause", cause).WithField("stack", string(stack)).Error("handler of a request panicked")
+}
+
 // Serve implements call.Server for requests of callers.
 func (n *Node) Serve(ctx context.Context, r call.Request) (*call.Answer, error) {
 	if !n.config.Ready() {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -58,11 +59,25 @@
 		}
 		go func() {
 			defer t.endStream(conn)
+			defer t.recover(stream)
 			t.serve(stream)
 		}()
 	}
 }
 
+// recover ends a request whose handler has panicked, so that the process goes on. The
+// request may have run.
+func (t *Transport) recover(stream *quic.Stream) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if t.Panicked != nil {
+		t.Panicked(cause, debug.Stack())
+	}
+	stream.CancelWrite(codeFailed)
+}
+
 func (t *Transport) serve(stream *quic.Stream) {
 	reader := bufio.NewReaderSize(stream, readBufferSize)
 	var head requestHead
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -69,6 +69,9 @@
 	Bodies *call.BodyMemory
 	// Credentials hold the certificate and the trusted authorities; never nil.
 	Credentials *Credentials
+	// Panicked is called when a handler has panicked; the request then fails with the
+	// outcome unknown. It may be nil.
+	Panicked func(cause any, stack []byte)
 	// Socket wraps the UDP socket, for example to count packets; nil means that it is
 	// used directly.
 	Socket func(socket *net.UDPConn) net.PacketConn
--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -83,6 +83,7 @@
 		"too short":    {serve: tooShort, kind: fault.KindCutShort, outcome: fault.Unknown},
 		"body limit":   {body: bytes.Repeat(big, 2), serve: echo, kind: fault.KindTooLarge, outcome: fault.Refused},
 		"head limit":   {serve: hugeHeader, kind: fault.KindUnreachable, outcome: fault.Unknown},
+		"panic":        {serve: func(context.Context, call.Request) (*call.Answer, error) { panic("broken") }, kind: fault.KindUnreachable, outcome: fault.Unknown},
 		"server error": {serve: func(context.Context, call.Request) (*call.Answer, error) { return nil, io.ErrUnexpectedEOF }, kind: fault.KindInternal, outcome: fault.Unknown},
 	}
 	for name, tc := range cases {
