Tell a late second copy of an answer by its ID

Cause: at nodes with settings net/http gives whatever arrives on a connection to the request that uses it. A second copy of an answer that came after the next request had been sent was passed on as the answer to that request.

An ID that was not sent to the server is accepted, because a server may return that of an inner request.

Result: go test -race -run 'SecondCopy|SentIDs' ./internal/backend; the case "late copy" fails without the change.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -37,6 +37,7 @@
 // Client sends requests to one backend server. Its zero value is ready to use.
 type Client struct {
 	transport atomic.Pointer[http.Transport]
+	sent      sentIDs
 }
 
 func (c *Client) roundTripper() *http.Transport {
@@ -73,10 +74,17 @@
 	if err != nil {
 		return nil, fault.New(fault.KindBadRequest, "request target %q: %v", r.URI, err)
 	}
+	c.sent.add(r.ID)
 	response, err := c.roundTripper().RoundTrip(request)
 	if err != nil {
 		return nil, classify(ctx, err, sent.Load())
 	}
+	// A server may return the ID of an inner request, but not that of another request
+	// which was sent to it: that is a second copy of an earlier answer.
+	if id := response.Header.Get(call.HeaderID); id != "" && id != r.ID && c.sent.contains(id) {
+		_ = response.Body.Close()
+		return nil, fault.New(fault.KindCutShort, "backend server sent a second answer to request %.80q", id)
+	}
 	call.RemoveHopHeaders(response.Header)
 	body, err := startBody(response.Body)
 	if err != nil {
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -99,3 +101,57 @@
 	_, _ = io.Copy(conn, strings.NewReader("not an answer\r\n\r\n"))
 	_ = conn.Close()
 }
+
+// Guards against a second copy of an answer that arrives late, on a connection that is
+// in use again: the next caller would get it.
+func TestSecondCopyReachesNoRequest(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\nbody"
+	for name, c := range map[string]struct {
+		// answers are the IDs of the answers to the second request.
+		answers string
+		ok      bool
+	}{
+		"late copy":           {"1 2", false},
+		"own answer":          {"2", true},
+		"of an inner request": {"inner", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := startRawServer(t, func(conn net.Conn) {
+				_, _ = fmt.Fprintf(conn, answer, "1")
+				_, _ = conn.Read(make([]byte, 4096))
+				for id := range strings.FieldsSeq(c.answers) {
+					_, _ = fmt.Fprintf(conn, answer, id)
+				}
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			var client Client
+			defer client.CloseIdle()
+			first, err := client.Do(t.Context(), addr, request(http.MethodGet))
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, first.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, first.Body.Close())
+			second := request(http.MethodGet)
+			second.ID = "2"
+			got, err := client.Do(t.Context(), addr, second)
+			if !c.ok {
+				assert.Assert(t, fault.Is(err, fault.KindCutShort), "%v", err)
+				assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
+				return
+			}
+			assert.NilError(t, err)
+			assert.NilError(t, got.Body.Close())
+		})
+	}
+}
+
+// Guards against a list of IDs that grows without end or forgets the newest.
+func TestSentIDs(t *testing.T) {
+	var s sentIDs
+	for i := range 3 * maxSentIDs {
+		s.add(strconv.Itoa(i))
+	}
+	assert.Equal(t, len(s.ids), maxSentIDs)
+	assert.Assert(t, s.contains(strconv.Itoa(3*maxSentIDs-1)) && s.contains(strconv.Itoa(2*maxSentIDs)))
+	assert.Assert(t, !s.contains(strconv.Itoa(2*maxSentIDs-1)))
+}
