--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -1,39 +1,19 @@
 package http1
 
 import (
-	"context"
 	"net/http"
 	"sync"
-	"time"
 )
 
 const (
-	// maxPipelined and maxPipelinedBytes limit the requests of one connection that are
-	// not yet answered. The first request counts for neither. A connection that exceeds
-	// them is closed after the answers to those that were accepted; HTTP/1.1 callers
-	// send the others again on a new connection.
+	// maxPipelined limits the requests of one connection that are not yet answered, and
+	// maxPipelinedBytes the size of those behind the first. A connection that exceeds a
+	// limit is closed after the answers to the requests that were accepted; HTTP/1.1
+	// callers send the others again on a new connection.
 	maxPipelined      = 16
 	maxPipelinedBytes = 256 << 10
 )
 
-// exchange is a request that was parsed and not yet answered.
-type exchange struct {
-	// parsed is the parser's request, which identifies the exchange. The parser reuses
-	// it, so handlers get request, a copy.
-	parsed, request *http.Request
-	body            []byte
-	// size is the number of bytes of the header and the body.
-	size int
-	// repeatable is set when the request may run beside others of its connection.
-	repeatable bool
-	// begun is set when the handler was called or is about to be.
-	begun  bool
-	cancel context.CancelFunc
-	// answered receives the response of a handler that runs in its own goroutine; nil
-	// for other handlers.
-	answered chan *http.Response
-}
-
 // pipeline is the queue of requests of one connection, in the order of their arrival.
 // Repeatable requests behind one another run at the same time. Any other request
 // begins after all before it were answered, and none behind it begins earlier: the
@@ -190,17 +170,3 @@
 	p.queue = nil
 	return waiting
 }
-
-// discard closes the response that nobody will read.
-func (x *exchange) discard() { _ = (<-x.answered).Body.Close() }
-
-type arrivalKey struct{}
-
-// Arrival returns when the last byte of a request was read, from the context of its
-// handler. A request behind others on its connection may begin much later.
-func Arrival(ctx context.Context) time.Time {
-	if at, ok := ctx.Value(arrivalKey{}).(time.Time); ok {
-		return at
-	}
-	return time.Now()
-}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -9,7 +9,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +22,9 @@
 const (
 	// readBuffer is the size of the shared read buffer of each poller.
 	readBuffer = 32 << 10
-	pollers    = 1
-	maxConns   = 4096
+	// pollers is one, so that the connection of awaitPoller shows that all of them run.
+	pollers  = 1
+	maxConns = 4096
 	// lingerTime is how long a connection with bad input stays open after the
 	// response. Closing it while input arrives would reset it, and the caller would
 	// lose the response.
@@ -230,33 +230,6 @@
 	s.beginWaiting(c)
 }
 
-// beginWaiting begins the requests that may run beside the first one of a connection.
-// While the server drains it begins none, so that connections come to an end.
-func (s *Server) beginWaiting(c *conn) {
-	if s.isDraining() {
-		return
-	}
-	for _, x := range c.pipeline.startable() {
-		go func() { x.answered <- s.run(c, x) }()
-	}
-}
-
-// run calls the handler.
-func (s *Server) run(c *conn, x *exchange) (response *http.Response) {
-	defer c.framer.releaseMemory(len(x.body))
-	defer func() {
-		cause := recover()
-		if cause == nil {
-			return
-		}
-		if s.Panicked != nil {
-			s.Panicked(cause, debug.Stack())
-		}
-		response = Text(http.StatusInternalServerError, "internal error")
-	}()
-	return s.Handler(x.request.Context(), x.request, x.body)
-}
-
 func (s *Server) connOf(w http.ResponseWriter) *conn {
 	response, ok := w.(*nbhttp.Response)
 	if !ok || response.Parser == nil {
@@ -329,43 +302,6 @@
 	}
 }
 
-// serve answers one request. It is called in the order of parsing, and after the
-// answer to the request before.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	_, _, _ = w.(http.Hijacker).Hijack()
-	c := s.connOf(w)
-	if c == nil {
-		return
-	}
-	closed, _ := c.IsClosed()
-	x, begin := c.pipeline.front(r, closed)
-	if x == nil {
-		return
-	}
-	defer x.cancel()
-	var response *http.Response
-	if begin {
-		response = s.run(c, x)
-	} else {
-		response = <-x.answered
-	}
-	last := c.pipeline.isLast(s.isDraining())
-	err := c.respond(response, x.request, last)
-	badInput := c.pipeline.remove()
-	switch {
-	case err != nil || last && !c.pipeline.unanswered():
-		_ = c.Close()
-	case last:
-		c.linger(nil)
-	case badInput != nil:
-		s.reject(c, badInput)
-	default:
-		c.setIdle(s.currentLimits().IdleTimeout)
-		s.beginWaiting(c)
-	}
-	c.pending.Add(-1)
-}
-
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/slots/limiter.go
+++ b/pkg/slots/limiter.go
@@ -326,58 +326,6 @@
 	l.allDurations.add(took)
 }
 
-// Tick starts queued requests that can run and refuses those that can no longer meet
-// their objective.
-func (l *Limiter) Tick(now time.Time) {
-	queue := l.queue
-	l.queue = nil
-	var expired []*Run
-	for _, r := range queue {
-		if l.keepsWaiting(r, now) {
-			l.insert(r)
-		} else {
-			r.waiting = false
-			expired = append(expired, r)
-		}
-	}
-	for len(l.queue) > 0 && l.canStart(l.queue[0], now) {
-		next := l.queue[0]
-		l.queue = l.queue[1:]
-		l.start(next, now)
-		next.Wake(true)
-	}
-	for _, r := range expired {
-		started := !l.closed && !l.Slowdown.Slow(now) && l.lateSlotFree(now)
-		if started {
-			l.start(r, now)
-		}
-		r.Wake(started)
-	}
-}
-
-// keepsWaiting reports whether a run should stay queued.
-func (l *Limiter) keepsWaiting(r *Run, now time.Time) bool {
-	work := l.UsualDuration(r.Kind) + r.Transfer
-	switch {
-	case l.closed:
-		return false
-	case r.late:
-		return now.Before(r.until) && !now.Add(work).After(r.Deadline)
-	case now.Add(work).After(r.Objective):
-		return l.awaitSlowPeriodEnd(r, work, now)
-	default:
-		return true
-	}
-}
-
-// canStart reports whether a queued run may start.
-func (l *Limiter) canStart(r *Run, now time.Time) bool {
-	if l.Slowdown.Slow(now) {
-		return false
-	}
-	return l.running < l.Limit.Current() && (!r.late || l.lateSlotFree(now))
-}
-
 // Begin reports whether a run with a reserved slot should start now, and records the
 // slowdown at its start. Otherwise the caller tries again after a short pause.
 func (l *Limiter) Begin(run *Run, now time.Time) bool {
