--- a/internal/mesh/calls_test.go
+++ b/internal/mesh/calls_test.go
@@ -23,7 +23,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newServerProxy(4)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				run, ok := p.runs.Parent("a")
 				assert.Check(t, ok && run.Priority == 2)
 				if c.callFails {
