--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -35,11 +35,11 @@
 type Relay struct {
 	// Target is the address to which the relay forwards (IP:port).
 	Target string
-	// Delay is the latency added to each chunk of a TCP connection, in both
-	// directions.
+	// Delay is the initial latency of SetDelay.
 	Delay time.Duration
 
 	mode    atomic.Int32
+	delay   atomic.Int64
 	dropped atomic.Int64
 	mu      sync.Mutex
 	tcp     net.Listener
@@ -57,6 +57,7 @@
 		return eris.Wrapf(err, "listen on TCP %s", addr)
 	}
 	r.tcp = listener
+	r.SetDelay(r.Delay)
 	r.pipes = make(map[*pipe]struct{})
 	go r.acceptTCP()
 	return nil
@@ -91,6 +92,10 @@
 	}
 }
 
+// SetDelay sets the latency that is added to each chunk of a TCP connection, in both
+// directions.
+func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+
 // Block drops the packets from and to one UDP peer (IP:port) if on is true, and
 // forwards them again otherwise. It simulates a partition that affects only some of
 // the peers.
--- a/internal/standin/relay/tcp.go
+++ b/internal/standin/relay/tcp.go
@@ -60,9 +60,7 @@
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			if r.Delay > 0 {
-				time.Sleep(r.Delay)
-			}
+			time.Sleep(time.Duration(r.delay.Load()))
 			if p.silent.Load() || forward && r.currentMode() == OneWay {
 				r.dropped.Add(1)
 			} else if _, err := to.Write(buf[:n]); err != nil {
