Report late acknowledgements and connections cut in a request

Both have a log line and a counter now: vanillasail_late_acknowledgements_total and vanillasail_cut_connections_total.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -37,6 +37,8 @@
 
 	framer   framer
 	pipeline pipeline
+	// endedBy is why the server has closed the connection; nil if it has not.
+	endedBy atomic.Pointer[string]
 	// lingering is set while the connection stays open after its last response.
 	lingering atomic.Bool
 
@@ -67,15 +69,30 @@
 
 func (c *conn) closeIdle() {
 	if c.pending.Load() == 0 {
-		_ = c.CloseWithError(os.ErrDeadlineExceeded)
+		c.end(endIdle, os.ErrDeadlineExceeded)
 	}
 }
 
+// Reasons why the server closes a connection.
+const (
+	endAnswered = "answered"
+	endIdle     = "idle"
+	endInput    = "bad input"
+	endDrain    = "drain"
+	endStop     = "stop"
+)
+
+// end closes the connection; err may be nil.
+func (c *conn) end(reason string, err error) {
+	c.endedBy.CompareAndSwap(nil, &reason)
+	_ = c.CloseWithError(err)
+}
+
 // linger closes the connection after some time, in which the caller can read the last
 // response and close the connection itself.
 func (c *conn) linger(err error) {
 	c.lingering.Store(true)
-	time.AfterFunc(lingerTime, func() { _ = c.CloseWithError(err) })
+	time.AfterFunc(lingerTime, func() { c.end(endAnswered, err) })
 }
 
 func (c *conn) onSent(n int) {
--- a/internal/http1/drain.go
+++ b/internal/http1/drain.go
@@ -39,7 +39,7 @@
 			busy++
 			continue
 		}
-		_ = c.Close()
+		c.end(endDrain, nil)
 	}
 	return busy
 }
@@ -51,7 +51,7 @@
 		_ = s.listener.Close()
 		for _, c := range s.snapshot() {
 			c.pipeline.cancel()
-			_ = c.Close()
+			c.end(endStop, nil)
 		}
 		s.engine.Stop()
 	})
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -88,10 +88,15 @@
 	}
 	last := c.pipeline.isLast(s.isDraining())
 	err := c.respond(response, x.request, last)
+	if err != nil {
+		_ = c.CloseWithError(err)
+		c.pending.Add(-1)
+		return
+	}
 	badInput := c.pipeline.remove()
 	switch {
-	case err != nil || last && !c.pipeline.unanswered():
-		_ = c.Close()
+	case last && !c.pipeline.unanswered():
+		c.end(endAnswered, nil)
 	case last:
 		c.linger(nil)
 	case badInput != nil:
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -205,13 +205,16 @@
 	}
 }
 
-// close releases the memory of an incomplete body.
-func (f *framer) close() {
+// close releases the memory of an incomplete body. It reports whether a part of a
+// request was received.
+func (f *framer) close() (partial bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
+	partial = f.inBody || len(f.head) > 0
 	f.releaseMemory(f.heldBytes)
 	f.heldBytes = 0
+	return partial
 }
 
 // takeBody returns the body of the request that was just parsed. The caller
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -152,12 +152,13 @@
 	}
 }
 
-// close empties the queue of an ended connection and returns the requests that have
-// not begun.
-func (p *pipeline) close() (waiting []*exchange) {
+// close empties the queue of an ended connection. It returns the requests that have
+// not begun, and the number of those that were not answered.
+func (p *pipeline) close() (waiting []*exchange, unanswered int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	unanswered = len(p.queue)
 	for _, x := range p.queue {
 		x.cancel()
 		switch {
@@ -168,5 +169,5 @@
 		}
 	}
 	p.queue = nil
-	return waiting
+	return waiting, unanswered
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -44,6 +44,17 @@
 // BadRequest returns the response to a request that could not be parsed.
 type BadRequest func(err error) *http.Response
 
+// Cut describes a connection that has ended in the middle of a request.
+type Cut struct {
+	// Reason is why the server closed the connection; empty if it was lost or closed by
+	// the caller.
+	Reason string
+	// Requests is the number of whole requests that were not answered.
+	Requests int
+	// Partial is set when a part of a request was received.
+	Partial bool
+}
+
 // Memory limits the total memory of request bodies.
 type Memory interface {
 	// Take reserves n bytes. It reserves nothing and returns false if that would
@@ -73,6 +84,9 @@
 	// Panicked is called when the handler has panicked; the caller gets status 500. It
 	// may be nil.
 	Panicked func(cause any, stack []byte)
+	// Cut is called when a connection has ended with requests that were not answered, or
+	// with a part of a request; it may be nil.
+	Cut func(c Cut)
 	// StallTimeout is the maximum time without progress of a write; zero means 30 s.
 	StallTimeout time.Duration
 
@@ -192,10 +206,18 @@
 		return
 	}
 	closed.stopIdle()
-	closed.framer.close()
-	for _, x := range closed.pipeline.close() {
+	cut := Cut{Partial: closed.framer.close()}
+	if reason := closed.endedBy.Load(); reason != nil {
+		cut.Reason = *reason
+	}
+	var waiting []*exchange
+	waiting, cut.Requests = closed.pipeline.close()
+	for _, x := range waiting {
 		closed.framer.releaseMemory(len(x.body))
 	}
+	if s.Cut != nil && (cut.Requests > 0 || cut.Partial) {
+		s.Cut(cut)
+	}
 }
 
 func (s *Server) find(nc *nbio.Conn) *conn {
@@ -266,7 +288,7 @@
 			c.setIdle(s.currentLimits().IdleTimeout)
 		}
 	case errors.Is(err, net.ErrClosed):
-		_ = nc.CloseWithError(err)
+		c.end(endInput, err)
 	case !c.pipeline.end(err):
 		go s.reject(c, err)
 	}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -48,6 +48,11 @@
 	joined   atomic.Bool
 	// inFlight counts the running requests of peers.
 	inFlight atomic.Int64
+	// lateAcks counts the requests that other nodes acknowledged late.
+	lateAcks atomic.Int64
+	// cuts counts the callers' connections that this node has closed in the middle of a
+	// request.
+	cuts atomic.Int64
 }
 
 const (
@@ -110,6 +115,7 @@
 		Node: o.Node, Start: time.Now().UnixMilli(), Domain: o.Domain, Region: o.Region, Service: o.Service,
 	}
 	n.peers.Hello = []byte(o.Node)
+	n.peers.LateAck = n.acknowledgedLate
 	n.uplink.SetRate(o.LinkRate)
 	n.serverProxy.uplink, n.serverProxy.sizes = &n.uplink, &n.sizes
 	n.peerServer.Handler, n.peerServer.Uplink = n.answer, &n.uplink
@@ -117,6 +123,7 @@
 	n.bodies.Max = o.MaxBodies
 	n.callers.Memory = &n.bodies
 	n.callers.Repeatable = n.repeatable
+	n.callers.Cut = n.connectionCut
 	n.callers.Panicked, n.peerServer.Panicked = n.panicked, n.panicked
 	n.callers.Rejected = func(id string, err *fault.Error) { _ = n.logRejected(id, err) }
 }
@@ -177,6 +184,21 @@
 	n.Log.WithField("cause", cause).WithField("stack", string(stack)).Error("handler of a request panicked")
 }
 
+// acknowledgedLate records that a node acknowledged a request after the time-out.
+func (n *Node) acknowledgedLate(addr string, after time.Duration) {
+	n.lateAcks.Add(1)
+	n.Log.WithField("addr", addr).WithField("after", after).Debug("node acknowledged late")
+}
+
+// connectionCut records a caller's connection that ended in the middle of a request.
+func (n *Node) connectionCut(c http1.Cut) {
+	if c.Reason != "" {
+		n.cuts.Add(1)
+	}
+	n.Log.WithField("reason", c.Reason).WithField("requests", c.Requests).WithField("partial", c.Partial).
+		Debug("connection of a caller was cut")
+}
+
 // logRejected logs a request that failed before placement, and returns the error.
 func (n *Node) logRejected(id string, err *fault.Error) *fault.Error {
 	n.Log.WithField("id", id).WithField("kind", string(err.Kind)).WithField("status", err.Status).
@@ -365,8 +387,8 @@
 func (n *Node) MetricsText() string {
 	load := n.serverProxy.load()
 	return n.requestMetrics.text() + fmt.Sprintf(
-		"vanillasail_server_running %d\nvanillasail_server_waiting %d\nvanillasail_server_limit %d\nvanillasail_server_slots %d\nvanillasail_server_pace %.2f\nvanillasail_nodes %d\nvanillasail_links %d\nvanillasail_configuration_version %d\n",
-		load.InFlight, load.Queued, load.Limit, load.Slots, load.Slowdown, n.directory.count(), n.peers.Links(), n.follower.version())
+		"vanillasail_server_running %d\nvanillasail_server_waiting %d\nvanillasail_server_limit %d\nvanillasail_server_slots %d\nvanillasail_server_pace %.2f\nvanillasail_nodes %d\nvanillasail_links %d\nvanillasail_configuration_version %d\nvanillasail_late_acknowledgements_total %d\nvanillasail_cut_connections_total %d\n",
+		load.InFlight, load.Queued, load.Limit, load.Slots, load.Slowdown, n.directory.count(), n.peers.Links(), n.follower.version(), n.lateAcks.Load(), n.cuts.Load())
 }
 
 // CallerAddr returns the address on which callers are served.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -40,6 +40,9 @@
 	// AckTimeout is how long a peer may take to acknowledge a request with AwaitAck,
 	// or a ping before a request with CheckLiveness; zero means 250 ms.
 	AckTimeout time.Duration
+	// LateAck is called when a peer acknowledges a request after AckTimeout, with the
+	// time since the request was sent; it may be nil.
+	LateAck func(addr string, after time.Duration)
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -82,6 +85,7 @@
 	if err := c.awaitHead(ctx, s, r.AwaitAck); err != nil {
 		l.dropStream(s, true)
 		if errors.Is(err, ErrNoAck) {
+			l.expectLateAck(s)
 			c.retire(addr, l)
 		}
 		return nil, err
@@ -137,6 +141,7 @@
 	l := c.links[addr]
 	if l == nil || l.closed() {
 		l = newLink()
+		l.lateAck = func(after time.Duration) { c.acknowledgedLate(addr, after) }
 		c.links[addr] = l
 		go c.dial(addr, l)
 	}
@@ -186,6 +191,12 @@
 	l.retire()
 }
 
+func (c *Client) acknowledgedLate(addr string, after time.Duration) {
+	if c.LateAck != nil {
+		c.LateAck(addr, after)
+	}
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -23,6 +23,9 @@
 	// maxFrameAge is how long ago the last frame may have arrived for a request with
 	// CheckLiveness to be sent without a ping: a few round trips between regions.
 	maxFrameAge = 50 * time.Millisecond
+	// maxUnacknowledged bounds the late acknowledgements of a connection that are
+	// reported.
+	maxUnacknowledged = 64
 )
 
 // link is the client side of a connection to a peer.
@@ -39,6 +42,10 @@
 	ended   bool
 	// lastFrame is when the last frame arrived, lastPing when the last ping was sent.
 	lastFrame, lastPing time.Time
+	// unacknowledged holds when the requests were sent that the peer did not acknowledge
+	// in time; at most maxUnacknowledged.
+	unacknowledged map[uint32]time.Time
+	lateAck        func(after time.Duration)
 	// nextFrame is closed when the next frame arrives; nil while nothing waits for it.
 	nextFrame chan struct{}
 	// lastUsed is when a stream was last opened or dropped.
@@ -150,13 +157,30 @@
 			l.nextFrame = nil
 		}
 		s := l.streams[f.stream]
+		sent, late := l.unacknowledged[f.stream]
+		delete(l.unacknowledged, f.stream)
 		l.mu.Unlock()
+		if late {
+			l.lateAck(time.Since(sent))
+		}
 		if s != nil {
 			s.deliver(f)
 		}
 	}
 }
 
+// expectLateAck reports the acknowledgement of a request when it still arrives.
+func (l *link) expectLateAck(s *stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unacknowledged == nil {
+		l.unacknowledged = make(map[uint32]time.Time)
+	}
+	if len(l.unacknowledged) < maxUnacknowledged {
+		l.unacknowledged[s.id] = s.opened
+	}
+}
+
 // dropStream removes a stream. With notify it resets the stream at the peer, because
 // the answer is not needed any more.
 func (l *link) dropStream(s *stream, notify bool) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -235,6 +235,32 @@
 	}
 }
 
+// Guards against late acknowledgements that leave no trace, so that a slow peer looks
+// like a lost one.
+func TestLateAcknowledgementIsReported(t *testing.T) {
+	client, addr := start(t, func(ctx context.Context, r Incoming) Reply {
+		if string(r.Head) == "long" {
+			<-ctx.Done()
+		}
+		return Reply{Head: []byte("h")}
+	})
+	late := make(chan time.Duration, 1)
+	client.AckTimeout = 20 * time.Millisecond
+	client.LateAck = func(_ string, after time.Duration) { late <- after }
+	path := relay.Relay{Target: addr}
+	assert.NilError(t, path.StartTCP("127.0.0.1:0"))
+	t.Cleanup(path.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = client.Call(ctx, path.TCPAddr(), Request{Head: []byte("long")}) }()
+	_, err := client.Call(ctx, path.TCPAddr(), Request{Head: []byte("q")})
+	assert.NilError(t, err)
+	path.SetDelay(50 * time.Millisecond)
+	_, err = client.Call(ctx, path.TCPAddr(), Request{Head: []byte("q"), AwaitAck: true})
+	assert.ErrorIs(t, err, ErrNoAck)
+	assert.Assert(t, <-late > client.AckTimeout)
+}
+
 // FuzzReadFrame checks that malformed input from a peer causes no panic, and that no
 // memory is allocated for a length that exceeds the data.
 func FuzzReadFrame(f *testing.F) {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -4,12 +4,15 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 )
 
 // stream is the client side of one request.
 type stream struct {
 	id   uint32
 	link *link
+	// opened is when the request was about to be sent.
+	opened time.Time
 
 	// accepted is closed when the peer has acknowledged the request, head when the
 	// head of the answer has arrived or the stream has failed.
@@ -28,7 +31,7 @@
 }
 
 func newStream(id uint32, l *link) *stream {
-	s := &stream{id: id, link: l, accepted: make(chan struct{}), head: make(chan struct{})}
+	s := &stream{id: id, link: l, opened: time.Now(), accepted: make(chan struct{}), head: make(chan struct{})}
 	s.cond.L = &s.mu
 	return s
 }
