Keep sends open that are acknowledged late

Cause: a node that got no acknowledgement of a lookup within 250 ms canceled it and sent it to the next node. A second late one used up the attempts of the route, and the caller got 502 with most of its deadline left. But a late acknowledgement is no loss: the node, the sender or the link between them is short of time. The class of fault: a short time-out for one purpose (try another node) also ended the work.

Change: a send without an acknowledgement stays open beside the next one, and the first good answer counts. One that is not acknowledged within a second is given up. Attempts count as before. A late refusal shows that the node did not run the request, so another one may get it, and the outcome is known again.

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -21,9 +21,13 @@
 	attempts int
 
 	start time.Time
-	// sentAt is when the last send began.
-	sentAt time.Time
-	sends  int
+	sends int
+	// open holds the sends that run beside others.
+	open openSends
+	// waiting is set while the result of the last send is awaited beside open ones.
+	waiting bool
+	// exhausted is set when the request must not be sent again.
+	exhausted bool
 	// reached counts the servers that the request has reached.
 	reached int
 	// unacknowledged counts the nodes that did not acknowledge the request.
@@ -43,27 +47,44 @@
 func (d *dispatch) run(ctx context.Context) (*call.Answer, error) {
 	d.start = time.Now()
 	d.countRequest(d.request.Service, d.start)
-	for d.sends < maxSends {
-		if ctx.Err() != nil {
-			break
-		}
-		choice, last, ok := d.choose(time.Now())
+	defer d.open.cancelAll()
+	for ctx.Err() == nil {
+		s, ok := d.next(ctx)
 		if !ok {
 			break
 		}
-		d.sends++
-		d.sentAt = time.Now()
-		result := d.send(ctx, d.request.WithTarget("", last), choice)
-		if answer, done := d.evaluate(ctx, choice, last, result); done {
+		if answer, done := d.evaluate(ctx, s); done {
 			return answer, nil
 		}
-		if d.final(ctx) {
-			break
+		if !d.waiting {
+			d.exhausted = d.final(ctx)
 		}
 	}
 	return d.finish(ctx)
 }
 
+// next returns the result of the next send, or of an open one. ok is false when none is
+// left.
+func (d *dispatch) next(ctx context.Context) (s send, ok bool) {
+	if d.exhausted || d.waiting || d.sends >= maxSends {
+		return d.open.next(ctx)
+	}
+	choice, last, ok := d.choose(time.Now())
+	if !ok {
+		return d.open.next(ctx)
+	}
+	d.sends++
+	s = send{number: d.sends, choice: choice, last: last, at: time.Now()}
+	r := d.request.WithTarget("", last)
+	if d.open.count == 0 {
+		s.result = d.send(ctx, r, choice)
+		return s, true
+	}
+	d.waiting = true
+	d.open.start(ctx, s, func(ctx context.Context) sendResult { return d.send(ctx, r, choice) })
+	return d.open.next(ctx)
+}
+
 // choose picks a server. last is set when no other server is left, so that the
 // request should be queued there.
 func (d *dispatch) choose(now time.Time) (choice placement.Choice, last, ok bool) {
@@ -85,17 +106,28 @@
 
 // evaluate processes the result of one send. It returns true with the answer if the
 // caller gets it.
-func (d *dispatch) evaluate(ctx context.Context, choice placement.Choice, last bool, result sendResult) (*call.Answer, bool) {
-	node := choice.Server.ID
-	d.logSend(choice, last, result)
+func (d *dispatch) evaluate(ctx context.Context, s send) (*call.Answer, bool) {
+	node, result := s.choice.Server.ID, s.result
+	if s.late {
+		d.unacknowledged--
+	} else {
+		d.waiting = false
+	}
+	d.logSend(s)
 	if result.answer != nil {
 		d.reached++
 		d.ran = true
 		// Another server would make the call again that has just failed.
-		if result.answer.Status < http.StatusInternalServerError || result.callFailed || !d.mayResend(ctx) {
+		if result.answer.Status < http.StatusInternalServerError || result.callFailed {
 			return result.answer, true
 		}
-		d.resendGranted = true
+		if d.open.count == 0 {
+			if !d.mayResend(ctx) {
+				return result.answer, true
+			}
+			d.resendGranted = true
+		}
+		d.last = fault.New(fault.KindServerLost, "the backend server failed with status %d", result.answer.Status)
 		d.keepFallback(result.answer)
 		d.search.Failed(node)
 		return nil, false
@@ -106,8 +138,11 @@
 		d.search.HandedBack(node)
 		return nil, false
 	case result.unacknowledged:
-		d.ran = true
 		d.unacknowledged++
+		if result.await != nil {
+			s.late = true
+			d.open.start(ctx, s, func(ctx context.Context) sendResult { return d.observe(ctx, node, result.await) })
+		}
 	case result.ran:
 		d.reached++
 		d.ran = true
@@ -146,6 +181,9 @@
 // acknowledge it may only have been slow.
 func (d *dispatch) serversUsed() int { return d.reached + d.unacknowledged }
 
+// mayHaveRun reports whether a server may run the request or have run it.
+func (d *dispatch) mayHaveRun() bool { return d.ran || d.unacknowledged > 0 || d.waiting }
+
 // mayResend reports whether a request that may have run may be sent again.
 func (d *dispatch) mayResend(ctx context.Context) bool {
 	now := time.Now()
@@ -171,16 +209,16 @@
 	switch {
 	case ctx.Err() != nil:
 		err = fault.New(fault.KindDeadline, "no answer before the deadline, or the caller left")
-		if !d.ran {
+		if !d.mayHaveRun() {
 			err = err.WithOutcome(fault.Refused)
 		}
 	case err == nil:
 		err = fault.New(fault.KindNoServer, "no backend server of service %q is known", d.request.Service)
 	}
-	if d.ran && err.Outcome == fault.Refused {
+	if d.mayHaveRun() && err.Outcome == fault.Refused {
 		err = fault.New(fault.KindServerLost, "%s", err.Detail)
 	}
-	if !d.ran && err.Outcome == fault.Refused && err.Kind != fault.KindDeadline && err.Kind != fault.KindQuarantined {
+	if !d.mayHaveRun() && err.Outcome == fault.Refused && err.Kind != fault.KindDeadline && err.Kind != fault.KindQuarantined {
 		err = overloaded(retry.Jitter(err.Wait, nil)).WithOutcome(fault.Refused)
 		if d.last != nil {
 			err.Detail = d.last.Detail
@@ -193,15 +231,16 @@
 // logSend logs a send: the load figures that decided the placement, their age, and
 // the result. The server's figures after the send show whether the decision was
 // right.
-func (d *dispatch) logSend(choice placement.Choice, last bool, result sendResult) {
+func (d *dispatch) logSend(s send) {
+	choice, result := s.choice, s.result
 	age := time.Duration(-1)
 	if choice.Known {
-		age = d.sentAt.Sub(choice.Server.Seen)
+		age = s.at.Sub(choice.Server.Seen)
 	}
 	fields := log.Fields{
-		"id": d.request.ID, "route": d.request.Route, "to": choice.Server.ID, "send": d.sends,
+		"id": d.request.ID, "route": d.request.Route, "to": choice.Server.ID, "send": s.number, "late": s.late,
 		"running": choice.Server.Running, "limit": choice.Server.Limit, "pace": choice.Server.Slowdown, "age": age,
-		"bytes": len(d.request.Body), "last": last, "took": time.Since(d.sentAt),
+		"bytes": len(d.request.Body), "last": s.last, "took": time.Since(s.at),
 		"running_after": result.load.InFlight, "limit_after": result.load.Limit, "pace_after": result.load.Slowdown,
 	}
 	if result.answer != nil {
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -36,6 +36,10 @@
 	// is sent: a third of all sends is handed back, and the round trip costs less than
 	// sending such a body to a server that does not take the request.
 	minReserveBytes = 8 << 10
+	// maxAckDelay is how long after a send its acknowledgement may come. Processes stall
+	// for half a second in bursts and while they stop; a host that does not react for
+	// longer is lost.
+	maxAckDelay = time.Second
 	// minLargeAnswer is the mean size from which a route's answers wait for the link of
 	// the server's host.
 	minLargeAnswer = 16 << 10
@@ -126,13 +130,18 @@
 // node, otherwise through the node beside it.
 func (d *dispatcher) send(ctx context.Context, r call.Request, choice placement.Choice) sendResult {
 	node := choice.Server.ID
+	return d.observe(ctx, node, func(ctx context.Context) sendResult {
+		if choice.Server.Distance == placement.SameHost {
+			return d.serverProxy.serve(ctx, r, 0)
+		}
+		return d.sendRemote(ctx, r, node)
+	})
+}
+
+// observe calls send and records its result for the placement of later requests.
+func (d *dispatcher) observe(ctx context.Context, node string, send func(ctx context.Context) sendResult) sendResult {
 	d.directory.sendStarted(node)
-	var result sendResult
-	if choice.Server.Distance == placement.SameHost {
-		result = d.serverProxy.serve(ctx, r, 0)
-	} else {
-		result = d.sendRemote(ctx, r, node)
-	}
+	result := send(ctx)
 	now := time.Now()
 	d.directory.sendEnded(node)
 	if result.load.Slots > 0 || result.load.Draining {
@@ -166,7 +175,7 @@
 	}
 	// An idempotent request can be sent to another node if this one does not acknowledge
 	// it. Any other request cannot, so the connection is checked before it is sent.
-	return d.exchange(ctx, to, m, peer.Request{Body: body, AwaitAck: r.Idempotent, CheckLiveness: !r.Idempotent})
+	return d.exchange(ctx, to, m, peer.Request{Body: body, AwaitAck: r.Idempotent, KeepOpen: r.Idempotent, CheckLiveness: !r.Idempotent})
 }
 
 // exchange sends one message about a request to the node beside a server.
@@ -176,6 +185,19 @@
 		return sendResult{err: fault.As(err).WithOutcome(fault.Refused)}
 	}
 	answer, err := d.peers.Call(ctx, to.Addr, r)
+	result := d.receive(ctx, to, m, answer, err)
+	var pending *peer.Pending
+	if errors.As(err, &pending) {
+		result.await = func(ctx context.Context) sendResult {
+			answer, err := pending.Await(ctx, maxAckDelay)
+			return d.receive(ctx, to, m, answer, err)
+		}
+	}
+	return result
+}
+
+// receive returns the result of an exchange.
+func (d *dispatcher) receive(ctx context.Context, to roster.Entry, m message, answer *peer.Answer, err error) sendResult {
 	if err != nil {
 		return d.callFailed(ctx, to.Node, err)
 	}
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -70,6 +70,9 @@
 	// unacknowledged is set when the node beside the server did not acknowledge the
 	// request. The request may still run, but most likely the host is gone.
 	unacknowledged bool
+	// await returns the result of an unacknowledged send that is still open. It must be
+	// called; nil if the send has ended.
+	await func(ctx context.Context) sendResult
 	// callFailed is set when a call failed that the server made for the request, so that
 	// the result says nothing about the server.
 	callFailed bool
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -60,6 +60,9 @@
 	// AwaitAck makes Call return ErrNoAck if the peer does not acknowledge the request
 	// within AckTimeout.
 	AwaitAck bool
+	// KeepOpen makes Call return a *Pending as ErrNoAck, so that an answer that comes
+	// later is not lost. Without it, the request is canceled.
+	KeepOpen bool
 	// CheckLiveness sends the request only on a connection on which a frame arrived
 	// recently, if necessary the reply to a ping. It is for requests that cannot be
 	// retried elsewhere once they are sent.
@@ -82,45 +85,19 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.awaitHead(ctx, s, r.AwaitAck); err != nil {
-		l.dropStream(s, true)
-		if errors.Is(err, ErrNoAck) {
-			l.expectLateAck(s)
-			c.retire(addr, l)
-		}
-		return nil, err
+	ackTimeout := time.Duration(0)
+	if r.AwaitAck {
+		ackTimeout = c.ackTimeout()
 	}
-	stop := context.AfterFunc(ctx, func() {
-		s.fail(ctx.Err())
-		l.dropStream(s, true)
-	})
-	return &Answer{Head: s.answer, Body: &answerBody{stream: s, stop: stop}}, nil
-}
-
-func (c *Client) awaitHead(ctx context.Context, s *stream, awaitAck bool) error {
-	if awaitAck {
-		timer := time.NewTimer(c.ackTimeout())
-		defer timer.Stop()
-		select {
-		case <-s.accepted:
-		case <-s.head:
-		case <-timer.C:
-			return ErrNoAck
-		case <-ctx.Done():
-			return ctx.Err()
+	err = s.awaitHead(ctx, ackTimeout)
+	if errors.Is(err, ErrNoAck) {
+		l.expectLateAck(s)
+		defer c.retire(addr, l)
+		if r.KeepOpen {
+			return nil, &Pending{stream: s}
 		}
 	}
-	select {
-	case <-s.head:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.answer == nil {
-			return s.err
-		}
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return s.finish(ctx, err)
 }
 
 const defaultAckTimeout = 250 * time.Millisecond
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -261,6 +261,47 @@
 	assert.Assert(t, <-late > client.AckTimeout)
 }
 
+// Guards against losing an answer that comes after the time-out of its acknowledgement,
+// and against waiting for a peer that does not react at all.
+func TestPendingRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		disturb    func(path *relay.Relay)
+		ackTimeout time.Duration
+		want       error
+	}{
+		"acknowledged late":  {func(path *relay.Relay) { path.SetDelay(50 * time.Millisecond) }, time.Minute, nil},
+		"never acknowledged": {func(path *relay.Relay) { path.SetMode(relay.Silent) }, 60 * time.Millisecond, ErrNoAck},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, addr := start(t, func(_ context.Context, r Incoming) Reply { return Reply{Payload: r.Body} })
+			client.AckTimeout = 20 * time.Millisecond
+			path := &relay.Relay{Target: addr}
+			assert.NilError(t, path.StartTCP("127.0.0.1:0"))
+			t.Cleanup(path.Close)
+			first, err := client.Call(t.Context(), path.TCPAddr(), Request{})
+			assert.NilError(t, err)
+			assert.NilError(t, first.Body.Close())
+			c.disturb(path)
+			_, err = client.Call(t.Context(), path.TCPAddr(), Request{Body: []byte("body"), AwaitAck: true, KeepOpen: true})
+			assert.ErrorIs(t, err, ErrNoAck)
+			var pending *Pending
+			assert.Assert(t, errors.As(err, &pending))
+			answer, err := pending.Await(t.Context(), c.ackTimeout)
+			assert.ErrorIs(t, err, c.want)
+			if err == nil {
+				body, err := io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), "body")
+				assert.NilError(t, answer.Body.Close())
+			}
+			l := pending.stream.link
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			assert.Equal(t, len(l.streams), 0)
+		})
+	}
+}
+
 // FuzzReadFrame checks that malformed input from a peer causes no panic, and that no
 // memory is allocated for a length that exceeds the data.
 func FuzzReadFrame(f *testing.F) {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -85,6 +85,52 @@
 	s.cond.Broadcast()
 }
 
+// finish returns the answer to a request of which the head was awaited.
+func (s *stream) finish(ctx context.Context, err error) (*Answer, error) {
+	if err != nil {
+		s.link.dropStream(s, true)
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() {
+		s.fail(ctx.Err())
+		s.link.dropStream(s, true)
+	})
+	return &Answer{Head: s.answer, Body: &answerBody{stream: s, stop: stop}}, nil
+}
+
+// awaitHead waits for the head of the answer. Unless ackTimeout is zero, it returns
+// ErrNoAck if the peer does not acknowledge the request in that time.
+func (s *stream) awaitHead(ctx context.Context, ackTimeout time.Duration) error {
+	if ackTimeout > 0 {
+		timer := time.NewTimer(ackTimeout)
+		defer timer.Stop()
+		select {
+		case <-s.accepted:
+		case <-s.head:
+		case <-timer.C:
+			select {
+			case <-s.accepted:
+			case <-s.head:
+			default:
+				return ErrNoAck
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	select {
+	case <-s.head:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.answer == nil {
+			return s.err
+		}
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Read implements io.Reader. It returns io.EOF only after the whole body.
 func (s *stream) Read(p []byte) (int, error) {
 	s.mu.Lock()
