peer: keep connections whose silence is this process's own

A process that stood still for a second and a half (a freeze, a lack of processor time) found at its next check that nothing had arrived since its last ping, and closed the connection, together with the answers in its receive buffer; callers got 502 for requests that had been answered. The same class of fault as the early end of unacknowledged sends: a local delay is taken for that of the peer.

A check that comes more than 400 ms after the one before counts as a stall: it sends another ping and waits again.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -14,6 +14,9 @@
 const (
 	// watchInterval is how often a connection with requests in flight is checked.
 	watchInterval = 200 * time.Millisecond
+	// maxCheckDelay is the time between two checks from which this process counts as
+	// stalled.
+	maxCheckDelay = 2 * watchInterval
 	// pingAfter is how long no frame may arrive before a ping is sent.
 	pingAfter = 300 * time.Millisecond
 	// silenceTimeout is how long no frame may arrive, in spite of a ping, before the
@@ -42,6 +45,8 @@
 	ended   bool
 	// lastFrame is when the last frame arrived, lastPing when the last ping was sent.
 	lastFrame, lastPing time.Time
+	// lastCheck is when the silence was last checked.
+	lastCheck time.Time
 	// unacknowledged holds when the requests were sent that the peer did not acknowledge
 	// in time; at most maxUnacknowledged.
 	unacknowledged map[uint32]time.Time
@@ -238,6 +243,7 @@
 // startWatch starts the periodic silence check. It runs while requests are in flight,
 // and once more to close an idle connection.
 func (l *link) startWatch() {
+	l.lastCheck = time.Now()
 	if l.watchTimer == nil {
 		l.watchTimer = time.AfterFunc(watchInterval, l.checkSilence)
 		return
@@ -263,8 +269,11 @@
 		}
 		return
 	}
+	// After a stall of this process, frames of the peer may still be unread.
+	stalled := now.Sub(l.lastCheck) >= maxCheckDelay
+	l.lastCheck = now
 	silence := now.Sub(l.lastFrame)
-	ping := silence >= pingAfter && l.lastPing.Before(l.lastFrame)
+	ping := silence >= pingAfter && (stalled || l.lastPing.Before(l.lastFrame))
 	if ping {
 		l.lastPing = now
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -302,6 +302,41 @@
 	}
 }
 
+// Guards against losing answers that have arrived because this process stood still: the
+// silence of the connection is then its own.
+func TestStalledProcessKeepsItsConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		sinceCheck time.Duration
+		ended      bool
+	}{
+		"the peer is silent": {watchInterval, true}, "this process stood still": {2 * silenceTimeout, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, addr := start(t, func(ctx context.Context, _ Incoming) Reply {
+				<-ctx.Done()
+				return Reply{}
+			})
+			go func() { _, _ = client.Call(t.Context(), addr, Request{}) }()
+			l, err := client.link(t.Context(), addr)
+			assert.NilError(t, err)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				if len(l.streams) == 0 {
+					return poll.Continue("no request is in flight")
+				}
+				return poll.Success()
+			}, poll.WithDelay(time.Millisecond))
+			l.mu.Lock()
+			now := time.Now()
+			l.lastFrame, l.lastPing, l.lastCheck = now.Add(-2*silenceTimeout), now.Add(-2*silenceTimeout+time.Millisecond), now.Add(-c.sinceCheck)
+			l.mu.Unlock()
+			l.checkSilence()
+			assert.Equal(t, l.closed(), c.ended)
+		})
+	}
+}
+
 // FuzzReadFrame checks that malformed input from a peer causes no panic, and that no
 // memory is allocated for a length that exceeds the data.
 func FuzzReadFrame(f *testing.F) {
