Let the link decide when an unacknowledged send is lost

Now the connection's silence of 1.5 s or the deadline ends it, as for acknowledged sends; - a send whose time-out fired as its caller left stayed open at the peer (TestOpenSendEndsWithItsCaller); - a late hand-back allowed a send that the resend window had refused (TestLateHandBackGrantsNoResend); - the late failure of a send excluded a node that a probe had reached meanwhile (TestLateFailureDoesNotExcludeANode); - canceled sends counted as successes of the server (TestCanceledSendSaysNothingOfTheServer).

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -36,8 +36,10 @@
 	// ran is set when the request may have run.
 	ran  bool
 	last *fault.Error
-	// resendGranted is set when the resend window has allowed the next send.
+	// resendGranted is set when the resend window has allowed the next send, and resends
+	// counts the sends that it has allowed.
 	resendGranted bool
+	resends       int
 	// fallback is an answer with an error status, which is delivered if no later
 	// send is answered better.
 	fallback *call.Answer
@@ -114,6 +116,11 @@
 		d.waiting = false
 	}
 	d.logSend(s)
+	if result.await != nil {
+		s.late = true
+		d.open.start(ctx, s, func(ctx context.Context) sendResult { return d.observe(ctx, node, result.await) })
+		result.unacknowledged = true
+	}
 	if result.answer != nil {
 		d.reached++
 		d.ran = true
@@ -139,10 +146,6 @@
 		return nil, false
 	case result.unacknowledged:
 		d.unacknowledged++
-		if result.await != nil {
-			s.late = true
-			d.open.start(ctx, s, func(ctx context.Context) sendResult { return d.observe(ctx, node, result.await) })
-		}
 	case result.ran:
 		d.reached++
 		d.ran = true
@@ -166,9 +169,10 @@
 		var buf [32]placement.Server
 		return !d.search.HasCapacityElsewhere(&d.Costs, d.directory.servers(d.request.Service, buf[:0]), d.placementRequest(), time.Now())
 	case d.last.Kind == fault.KindShed:
-		return d.serversUsed() >= d.attempts || !d.takeResend(d.request.Service, shedShare, time.Now())
+		return d.serversUsed() >= d.attempts || !d.resend(shedShare, time.Now())
 	case d.last.Outcome == fault.Refused:
-		return false // the request has reached no server
+		// The send has reached no server, but an earlier one may have.
+		return d.resends < d.reached && !d.mayResend(ctx)
 	case d.unacknowledged > 0 && d.reached == 0:
 		// Nothing shows that a server has the request, so sending it elsewhere does not
 		// count in the resend window. Only idempotent requests get here.
@@ -188,7 +192,16 @@
 func (d *dispatch) mayResend(ctx context.Context) bool {
 	now := time.Now()
 	return d.request.Idempotent && ctx.Err() == nil && d.serversUsed() < d.attempts &&
-		now.Add(d.usualDuration()).Before(d.request.Deadline) && d.takeResend(d.request.Service, resendShare, now)
+		now.Add(d.usualDuration()).Before(d.request.Deadline) && d.resend(resendShare, now)
+}
+
+// resend takes a resend from the window of the service.
+func (d *dispatch) resend(share float64, now time.Time) bool {
+	if !d.takeResend(d.request.Service, share, now) {
+		return false
+	}
+	d.resends++
+	return true
 }
 
 // keepFallback keeps an answer with an error status in case that no later send is
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -36,10 +37,6 @@
 	// is sent: a third of all sends is handed back, and the round trip costs less than
 	// sending such a body to a server that does not take the request.
 	minReserveBytes = 8 << 10
-	// maxAckDelay is how long after a send its acknowledgement may come. Processes stall
-	// for half a second in bursts and while they stop; a host that does not react for
-	// longer is lost.
-	maxAckDelay = time.Second
 	// minLargeAnswer is the mean size from which a route's answers wait for the link of
 	// the server's host.
 	minLargeAnswer = 16 << 10
@@ -148,9 +145,10 @@
 		d.directory.observe(node, result.load, now)
 	}
 	// Without an acknowledgement the failure is that of the node or the network, not of
-	// its server.
-	if result.ran && !result.unacknowledged && !result.callFailed {
-		d.directory.observeOutcome(node, result.err != nil && ctx.Err() == nil || result.answer != nil && result.answer.Status >= 500, now)
+	// its server. A canceled send says nothing either.
+	canceled := result.err != nil && ctx.Err() != nil
+	if result.ran && !result.unacknowledged && !result.callFailed && !canceled {
+		d.directory.observeOutcome(node, result.err != nil || result.answer.Status >= http.StatusInternalServerError, now)
 	}
 	return result
 }
@@ -185,11 +183,15 @@
 		return sendResult{err: fault.As(err).WithOutcome(fault.Refused)}
 	}
 	answer, err := d.peers.Call(ctx, to.Addr, r)
+	if err != nil && ctx.Err() == nil {
+		d.directory.markUnreachable(to.Node, err, time.Now())
+	}
 	result := d.receive(ctx, to, m, answer, err)
 	var pending *peer.Pending
 	if errors.As(err, &pending) {
+		// A late failure says nothing new: the node is probed since the first one.
 		result.await = func(ctx context.Context) sendResult {
-			answer, err := pending.Await(ctx, maxAckDelay)
+			answer, err := pending.Await(ctx)
 			return d.receive(ctx, to, m, answer, err)
 		}
 	}
@@ -199,7 +201,7 @@
 // receive returns the result of an exchange.
 func (d *dispatcher) receive(ctx context.Context, to roster.Entry, m message, answer *peer.Answer, err error) sendResult {
 	if err != nil {
-		return d.callFailed(ctx, to.Node, err)
+		return callFailed(ctx, to.Node, err)
 	}
 	d.directory.markReachable(to.Node)
 	var reply response
@@ -226,11 +228,10 @@
 
 // callFailed returns the result for a failed call to another node. The request may
 // have run, unless it is certain that it was not sent.
-func (d *dispatcher) callFailed(ctx context.Context, node string, err error) sendResult {
+func callFailed(ctx context.Context, node string, err error) sendResult {
 	if ctx.Err() != nil {
 		return sendResult{err: fault.New(fault.KindDeadline, "no answer before the deadline, or the caller left"), ran: true}
 	}
-	d.directory.markUnreachable(node, err, time.Now())
 	failure := fault.New(fault.KindUnreachable, "node %s: %v", node, err)
 	if errors.Is(err, peer.ErrNotSent) {
 		return sendResult{err: failure.WithOutcome(fault.Refused)}
--- /dev/null
+++ b/internal/mesh/open_sends_test.go
@@ -0,0 +1,110 @@
+package mesh
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/internal/standin/relay"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/roster"
+)
+
+// newDispatch returns the dispatch of a lookup with two attempts and an empty resend
+// window, at a node that knows n1 to n3.
+func newDispatch(t *testing.T) *dispatch {
+	t.Helper()
+	o := &Options{Node: "n0", Domain: "d", Region: "r", Service: "s", Log: &log.Logger{Handler: discard.New()}}
+	o.Bounds.RetrySpan = time.Second
+	peers := &peer.Client{AckTimeout: 20 * time.Millisecond}
+	t.Cleanup(peers.Close)
+	return &dispatch{
+		dispatcher: &dispatcher{
+			Options: o, directory: newDirectory("n1", "n2", "n3"), serverProxy: newServerProxy(1), peers: peers, sizes: &answerSizes{},
+			version: func() uint64 { return 1 }, onVersion: func(uint64, roster.Entry) {},
+		},
+		request:  call.Request{ID: "x", Service: "s", Route: "r", Idempotent: true, Deadline: time.Now().Add(time.Hour)},
+		attempts: 2, start: time.Now(),
+	}
+}
+
+func sendTo(node string, result sendResult) send {
+	return send{number: 1, choice: placement.Choice{Server: placement.Server{ID: node}}, result: result}
+}
+
+func unacknowledged(await func(ctx context.Context) sendResult) sendResult {
+	return sendResult{err: fault.New(fault.KindUnreachable, "no acknowledgement"), ran: true, unacknowledged: true, await: await}
+}
+
+// Guards against a second run that the resend window has refused, after a late hand-back.
+func TestLateHandBackGrantsNoResend(t *testing.T) {
+	d := newDispatch(t)
+	_, done := d.evaluate(t.Context(), sendTo("n1", unacknowledged(func(context.Context) sendResult {
+		return sendResult{err: fault.New(fault.KindHandedBack, "no slot")}
+	})))
+	assert.Assert(t, !done && !d.final(t.Context()))
+	_, done = d.evaluate(t.Context(), sendTo("n2", sendResult{ran: true, answer: &call.Answer{Status: 500}}))
+	assert.Assert(t, !done && d.final(t.Context()))
+	late, ok := d.open.next(t.Context())
+	assert.Assert(t, ok)
+	_, done = d.evaluate(t.Context(), late)
+	assert.Assert(t, !done && d.final(t.Context()), "the request may be sent again")
+}
+
+// Guards against an open send that nobody ends when its caller leaves at the moment of
+// the time-out.
+func TestOpenSendEndsWithItsCaller(t *testing.T) {
+	d := newDispatch(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	ended := make(chan error, 1)
+	result := unacknowledged(func(ctx context.Context) sendResult {
+		ended <- ctx.Err()
+		return sendResult{err: fault.New(fault.KindDeadline, "the caller left"), ran: true}
+	})
+	result.unacknowledged = false
+	_, done := d.evaluate(ctx, sendTo("n1", result))
+	assert.Assert(t, !done)
+	assert.ErrorIs(t, <-ended, context.Canceled)
+}
+
+// Guards against excluding a node that was reached again, because of an older send.
+func TestLateFailureDoesNotExcludeANode(t *testing.T) {
+	s := &peer.Server{Handler: func(context.Context, peer.Incoming) peer.Reply { return peer.Reply{} }}
+	assert.NilError(t, s.Listen("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	path := &relay.Relay{Target: s.Addr()}
+	assert.NilError(t, path.StartTCP("127.0.0.1:0"))
+	t.Cleanup(path.Close)
+	d := newDispatch(t)
+	to, ok := d.directory.entry("n1")
+	assert.Assert(t, ok)
+	to.Addr = path.TCPAddr()
+	a, err := d.peers.Call(t.Context(), to.Addr, peer.Request{})
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+	path.SetMode(relay.Silent)
+	result := d.exchange(t.Context(), to, message{Call: &d.request}, peer.Request{AwaitAck: true, KeepOpen: true})
+	assert.Assert(t, result.unacknowledged && result.await != nil)
+	assert.Assert(t, path.Dropped() > 0)
+	d.directory.markReachable("n1")
+	result = result.await(t.Context())
+	assert.Equal(t, result.err.Kind, fault.KindUnreachable)
+	assert.Assert(t, !d.directory.loadOf("n1").reach.Unreachable())
+}
+
+// Guards against counting a canceled send as a success or a failure of the server.
+func TestCanceledSendSaysNothingOfTheServer(t *testing.T) {
+	d := newDispatch(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	d.observe(ctx, "n1", func(ctx context.Context) sendResult { return callFailed(ctx, "n1", ctx.Err()) })
+	assert.Equal(t, d.directory.loadOf("n1").samples, 0.0)
+}
