Do not send canceled requests to the server, nor mark it down for them

The reset of a request that came late often arrives together with it.

Pool.Do returns an error with outcome refused for a context that has ended before the request was sent, and only a refused connection marks the server down.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -76,6 +76,9 @@
 // Do sends the request once to the server at addr. An error with the outcome
 // refused means that the server did not run it and will not run it.
 func (p *Pool) Do(ctx context.Context, addr string, r call.Request) (*call.Answer, error) {
+	if ctx.Err() != nil {
+		return nil, notSent()
+	}
 	c, err := p.conn(ctx, addr, r.Idempotent)
 	if err != nil {
 		return nil, err
@@ -252,12 +255,20 @@
 func (p *Pool) dial(ctx context.Context, addr string) (*serverConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil && ctx.Err() != nil {
+		return nil, notSent()
+	}
 	if err != nil {
 		return nil, fault.New(fault.KindNoServer, "backend server accepts no connection: %v", err)
 	}
 	return newServerConn(conn), nil
 }
 
+// notSent returns the error for a request that was canceled before it was sent.
+func notSent() error {
+	return fault.New(fault.KindDeadline, "the deadline passed or the caller left before the request was sent").WithOutcome(fault.Refused)
+}
+
 func newServerConn(conn net.Conn) *serverConn {
 	c := &serverConn{Conn: conn, headerLeft: -1}
 	c.reader = bufio.NewReaderSize(c, 4<<10)
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -244,7 +244,7 @@
 	if err != nil {
 		cancel()
 		failure := fault.As(err)
-		if failure.Outcome == fault.Refused {
+		if failure.Kind == fault.KindNoServer {
 			p.markDown()
 		}
 		return nil, failure
