peer: check for streams and close a connection in one step

A connection without streams (idle, or retired after a missing acknowledgement) was found unused under the lock and closed after it. A request that was opened between failed as lost, or, on an idle connection, as not sent although it may have been, so that an order could run twice.

TestConnectionInUseIsNotClosed covers the step itself; it does not compile on the old code, which has no such step.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -193,13 +193,13 @@
 	_, known := l.streams[s.id]
 	delete(l.streams, s.id)
 	l.lastUsed = time.Now()
-	ended, last := l.ended, l.retired && len(l.streams) == 0
+	ended, retired := l.ended, l.retired
 	l.mu.Unlock()
 	if known && notify && !ended {
 		_ = l.socket.frame(frameReset, s.id, nil) // readFrames notices a failed connection
 	}
-	if last {
-		l.end(ErrConnectionLost)
+	if retired {
+		l.endUnused(ErrConnectionLost)
 	}
 }
 
@@ -207,11 +207,8 @@
 func (l *link) retire() {
 	l.mu.Lock()
 	l.retired = true
-	last := len(l.streams) == 0
 	l.mu.Unlock()
-	if last {
-		l.end(ErrConnectionLost)
-	}
+	l.endUnused(ErrConnectionLost)
 }
 
 func (l *link) credit(id uint32, n int) {
@@ -221,6 +218,22 @@
 // end closes the connection and fails its streams with err.
 func (l *link) end(err error) {
 	l.mu.Lock()
+	l.endLocked(err)
+}
+
+// endUnused closes the connection unless it has streams. No stream can be opened between
+// the check and the close.
+func (l *link) endUnused(err error) {
+	l.mu.Lock()
+	if len(l.streams) > 0 {
+		l.mu.Unlock()
+		return
+	}
+	l.endLocked(err)
+}
+
+// endLocked closes the connection and unlocks l.mu, which the caller holds.
+func (l *link) endLocked(err error) {
 	if l.ended {
 		l.mu.Unlock()
 		return
@@ -265,7 +278,7 @@
 		}
 		l.mu.Unlock()
 		if idle {
-			l.end(ErrNotSent)
+			l.endUnused(ErrNotSent)
 		}
 		return
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -336,6 +336,26 @@
 	}
 }
 
+// Guards against closing a connection as unused when a request has just been opened on it.
+// The request would count as lost, or as not sent although it was.
+func TestConnectionInUseIsNotClosed(t *testing.T) {
+	client, addr := start(t, func(ctx context.Context, _ Incoming) Reply {
+		<-ctx.Done()
+		return Reply{}
+	})
+	l, err := client.link(t.Context(), addr)
+	assert.NilError(t, err)
+	s, err := l.open(Request{})
+	assert.NilError(t, err)
+	l.endUnused(ErrNotSent)
+	assert.Assert(t, !l.closed())
+	l.dropStream(s, true)
+	l.endUnused(ErrNotSent)
+	assert.Assert(t, l.closed())
+	_, err = l.open(Request{})
+	assert.ErrorIs(t, err, ErrNotSent)
+}
+
 // FuzzReadFrame checks that malformed input from a peer causes no panic, and that no
 // memory is allocated for a length that exceeds the data.
 func FuzzReadFrame(f *testing.F) {
