http1: do not close a connection while a request on it is passed on

A caller could see its connection end without an answer although the request on it was run. The idle timer and the drain checked that no request is in flight and closed the connection in a second step. A request that the poller read in between was passed on all the same. A connection with bad input also counted as idle until the response to it was written.

The check now holds the lock of the framer, which the poller holds while it parses, and ends the input. So a request is either passed on before the check, which sees it, or not at all. After bad input only the response closes the connection.

A request that is still in the kernel's buffer when the connection is closed gets no answer, as before.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -68,11 +68,15 @@
 }
 
 func (c *conn) closeIdle() {
-	if c.pending.Load() == 0 {
+	if c.framer.endIfIdle(c.isIdle) {
 		c.end(endIdle, os.ErrDeadlineExceeded)
 	}
 }
 
+// isIdle reports whether the connection has no request in flight and is not closing
+// behind its last response.
+func (c *conn) isIdle() bool { return c.pending.Load() == 0 && !c.lingering.Load() }
+
 // Reasons why the server closes a connection.
 const (
 	endAnswered = "answered"
--- a/internal/http1/drain.go
+++ b/internal/http1/drain.go
@@ -35,11 +35,11 @@
 // caller may still read the last response. It returns the number of open connections.
 func (s *Server) closeIdle() (busy int) {
 	for _, c := range s.snapshot() {
-		if c.pending.Load() > 0 || c.lingering.Load() {
+		if c.framer.endIfIdle(c.isIdle) {
+			c.end(endDrain, nil)
+		} else {
 			busy++
-			continue
 		}
-		c.end(endDrain, nil)
 	}
 	return busy
 }
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -24,11 +24,12 @@
 	memory Memory
 
 	// mu is held while data is parsed, so that close sees either no body or a
-	// complete one.
+	// complete one, and endIfIdle each request that was passed on.
 	mu sync.Mutex
 	// heldBytes is the number of bytes taken from memory for the current body.
 	heldBytes int
-	// closed is set when the connection has ended.
+	// closed is set when the connection has ended or the server is about to close it.
+	// Further input is ignored.
 	closed bool
 
 	// head is the received part of the header, until it is complete and checked. The
@@ -205,6 +206,16 @@
 	}
 }
 
+// endIfIdle ends the input if idle returns true, and reports whether the input has
+// ended. Each request is passed on either before idle is called or not at all. After
+// an error it does nothing, because the connection closes after the response to it.
+func (f *framer) endIfIdle(idle func() bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = f.closed || !f.failed && idle()
+	return f.closed
+}
+
 // close releases the memory of an incomplete body. It reports whether a part of a
 // request was received.
 func (f *framer) close() (partial bool) {
