http1: wait in a drain for requests that are arriving

A caller that was sending a request when the node began to drain could see its connection end in the middle of that. The drain took a connection as idle if no whole request was in flight on it, also with a part of a header or of a body received.

The drain now closes only connections without a part of a request. The context of Drain bounds the wait as it does for requests in flight, the idle time-out ends a body whose caller falls silent, and a header still has HeadTimeout and gets 408. The responses have "Connection: close". A caller that falls silent in a request now holds up the drain until one of these limits.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -77,6 +77,10 @@
 // behind its last response.
 func (c *conn) isIdle() bool { return c.pending.Load() == 0 && !c.lingering.Load() }
 
+// isDrained reports whether the connection is idle and its caller is not sending a
+// request. The caller holds the lock of the framer.
+func (c *conn) isDrained() bool { return c.isIdle() && !c.framer.partial() }
+
 // Reasons why the server closes a connection.
 const (
 	endAnswered = "answered"
--- a/internal/http1/drain.go
+++ b/internal/http1/drain.go
@@ -8,8 +8,8 @@
 // Drain stops the server gracefully. From now on responses have "Connection:
 // close". For the notice period new connections are still accepted, so that callers
 // can move to other nodes. Then Drain closes the listener and the idle connections
-// and waits for requests in flight until ctx ends. It returns the number of
-// connections that still have a request in flight.
+// and waits until ctx ends for requests that are in flight or arriving. It returns the
+// number of connections that still have one.
 func (s *Server) Drain(ctx context.Context, notice time.Duration) int {
 	s.mu.Lock()
 	s.draining = true
@@ -31,11 +31,12 @@
 	}
 }
 
-// closeIdle closes the connections without a request in flight, except those whose
-// caller may still read the last response. It returns the number of open connections.
+// closeIdle closes the connections without a request in flight or arriving, except
+// those whose caller may still read the last response. It returns the number of those
+// that stay open.
 func (s *Server) closeIdle() (busy int) {
 	for _, c := range s.snapshot() {
-		if c.framer.endIfIdle(c.isIdle) {
+		if c.framer.endIfIdle(c.isDrained) {
 			c.end(endDrain, nil)
 		} else {
 			busy++
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -216,13 +216,16 @@
 	return f.closed
 }
 
+// partial reports whether a part of a request was received. The caller holds mu.
+func (f *framer) partial() bool { return f.inBody || len(f.head) > 0 }
+
 // close releases the memory of an incomplete body. It reports whether a part of a
 // request was received.
 func (f *framer) close() (partial bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
-	partial = f.inBody || len(f.head) > 0
+	partial = f.partial()
 	f.releaseMemory(f.heldBytes)
 	f.heldBytes = 0
 	return partial
