http1: compare an idle connection with the time-out in force

A caller may keep a connection idle for most of the time-out in force. It could see the connection end under its next request for two reasons: a timer that was started under a shorter time-out closed the connection after SetLimits had raised it, and a timer that fired while a request arrived closed it right behind the answer.

The timer now compares the time since the connection became idle with the time-out in force, under the lock of the framer, and runs on for the rest.

A time-out that is lowered applies from the next request, as before.

--- a/internal/http1/close_test.go
+++ b/internal/http1/close_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -85,6 +86,46 @@
 	}
 }
 
+// Guards against a connection that is closed by the idle time-out that was in force
+// when its last request ended, while its caller relies on a longer one.
+func TestIdleTimeoutInForce(t *testing.T) {
+	const start = time.Minute
+	for name, c := range map[string]struct {
+		// changes holds the limit that is set at each time.
+		changes map[time.Duration]time.Duration
+		closed  time.Duration
+	}{
+		"unchanged":          {nil, start},
+		"raised":             {map[time.Duration]time.Duration{30 * time.Second: time.Hour}, time.Hour},
+		"raised twice":       {map[time.Duration]time.Duration{30 * time.Second: time.Hour, 2 * time.Minute: 2 * time.Hour}, 2 * time.Hour},
+		"raised and lowered": {map[time.Duration]time.Duration{10 * time.Second: time.Hour, 30 * time.Second: start}, start},
+		"raised at the end":  {map[time.Duration]time.Duration{start - 1: start + 1}, start + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, opened := unpolled(t, Limits{IdleTimeout: start})
+				for at, limit := range c.changes {
+					time.AfterFunc(at, func() { s.SetLimits(Limits{IdleTimeout: limit}) })
+				}
+				time.Sleep(c.closed - 1)
+				synctest.Wait()
+				assert.Assert(t, !isClosed(opened))
+				time.Sleep(1)
+				synctest.Wait()
+				assert.Assert(t, isClosed(opened))
+			})
+		})
+	}
+}
+
+// Guards against an idle timer that fires while a request arrives and closes the
+// connection after the answer to it, when the caller takes the connection as fresh.
+func TestLateIdleTimerKeepsConnection(t *testing.T) {
+	_, c := unpolled(t, Limits{})
+	c.closeIdle()
+	assert.Assert(t, !isClosed(c))
+}
+
 // unpolled returns a server with one connection, which no poller reads from.
 func unpolled(t *testing.T, l Limits) (*Server, *conn) {
 	t.Helper()
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -45,16 +45,19 @@
 	mu sync.Mutex
 	// idle closes the connection if no request arrives; nil while one is in flight.
 	idle *time.Timer
+	// idleSince is when the idle time-out started.
+	idleSince time.Time
 }
 
 // setIdle starts the idle time-out again.
-func (c *conn) setIdle(timeout time.Duration) {
+func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle != nil {
 		c.idle.Stop()
 	}
-	c.idle = time.AfterFunc(timeout, c.closeIdle)
+	c.idleSince = time.Now()
+	c.idle = time.AfterFunc(c.framer.limits().IdleTimeout, c.closeIdle)
 }
 
 // stopIdle stops the idle time-out, which must not end a request in flight.
@@ -68,7 +71,7 @@
 }
 
 func (c *conn) closeIdle() {
-	if c.framer.endIfIdle(c.isIdle) {
+	if c.framer.endIfIdle(c.isExpired) {
 		c.end(endIdle, os.ErrDeadlineExceeded)
 	}
 }
@@ -77,6 +80,24 @@
 // behind its last response.
 func (c *conn) isIdle() bool { return c.pending.Load() == 0 && !c.lingering.Load() }
 
+// isExpired reports whether the connection has been idle for the time-out in force,
+// which callers rely on. Otherwise the timer runs on for the rest.
+func (c *conn) isExpired() bool {
+	if !c.isIdle() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil {
+		return false
+	}
+	rest := c.framer.limits().IdleTimeout - time.Since(c.idleSince)
+	if rest > 0 {
+		c.idle.Reset(rest)
+	}
+	return rest <= 0
+}
+
 // isDrained reports whether the connection is idle and its caller is not sending a
 // request. The caller holds the lock of the framer.
 func (c *conn) isDrained() bool { return c.isIdle() && !c.framer.partial() }
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -102,7 +102,7 @@
 	case badInput != nil:
 		s.reject(c, badInput)
 	default:
-		c.setIdle(s.currentLimits().IdleTimeout)
+		c.setIdle()
 		s.beginWaiting(c)
 	}
 	c.pending.Add(-1)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -186,7 +186,7 @@
 	opened := &conn{
 		Conn: nc, stallTimeout: s.StallTimeout, progress: make(chan struct{}, 1), framer: framer{limits: s.currentLimits, memory: s.Memory},
 	}
-	opened.setIdle(s.currentLimits().IdleTimeout)
+	opened.setIdle()
 	s.mu.Lock()
 	s.conns[nc] = opened
 	s.mu.Unlock()
@@ -285,7 +285,7 @@
 	switch {
 	case err == nil:
 		if c.pending.Load() == 0 {
-			c.setIdle(s.currentLimits().IdleTimeout)
+			c.setIdle()
 		}
 	case errors.Is(err, net.ErrClosed):
 		c.end(endInput, err)
