--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -146,9 +146,9 @@
 	}
 	// Without an acknowledgement the failure is that of the node or the network, not of
 	// its server. A canceled send says nothing either.
-	canceled := result.err != nil && ctx.Err() != nil
+	canceled := result.err != nil && errors.Is(ctx.Err(), context.Canceled)
 	if result.ran && !result.unacknowledged && !result.callFailed && !canceled {
-		d.directory.observeOutcome(node, result.err != nil || result.answer.Status >= http.StatusInternalServerError, now)
+		d.directory.observeOutcome(node, result.err != nil && ctx.Err() == nil || result.answer != nil && result.answer.Status >= http.StatusInternalServerError, now)
 	}
 	return result
 }
