--- a/internal/mesh/open_sends_test.go
+++ b/internal/mesh/open_sends_test.go
@@ -58,6 +58,23 @@
 	assert.Assert(t, !done && d.final(t.Context()), "the request may be sent again")
 }
 
+// Guards against failing a request that a slow node runs, because another node refuses it.
+func TestRefusalDoesNotEndOpenSends(t *testing.T) {
+	d := newDispatch(t)
+	d.directory = newDirectory()
+	_, done := d.evaluate(t.Context(), sendTo("n1", unacknowledged(func(context.Context) sendResult {
+		return sendResult{ran: true, answer: &call.Answer{Status: 200}}
+	})))
+	assert.Assert(t, !done)
+	_, done = d.evaluate(t.Context(), sendTo("n2", sendResult{err: overloaded(time.Second)}))
+	assert.Assert(t, !done)
+	d.exhausted = d.final(t.Context())
+	assert.Assert(t, d.exhausted)
+	answer, err := d.run(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, 200)
+}
+
 // Guards against an open send that nobody ends when its caller leaves at the moment of
 // the time-out.
 func TestOpenSendEndsWithItsCaller(t *testing.T) {
