--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -39,17 +39,28 @@
 // Take reports whether a request may be resent within a share of the limit, and
 // counts the resend if so. Resends of all shares count towards the same limit.
 func (w *Window) Take(now time.Time, share float64) bool {
+	if !w.allows(now, share, 1) {
+		return false
+	}
+	w.charge(now, 1)
+	return true
+}
+
+// allows reports whether n resends are within a share of the limit.
+func (w *Window) allows(now time.Time, share, n float64) bool {
 	w.advance(now)
 	var requests, resends float64
 	for _, c := range w.cells {
 		requests += c.requests
 		resends += c.resends
 	}
-	if resends+1 > share*(w.Ratio*requests+w.Fixed) {
-		return false
-	}
-	w.cells[w.head].resends++
-	return true
+	return resends+n <= share*(w.Ratio*requests+w.Fixed)
+}
+
+// charge counts n resends.
+func (w *Window) charge(now time.Time, n float64) {
+	w.advance(now)
+	w.cells[w.head].resends += n
 }
 
 // advance clears the cells that have left the window.
