mesh: charge resends for the calls that they make

Where the service called refuses too, the resends of calls came to 463 in 13 s, about as much as the platform allows, beside the calls of second runs, which nothing counted.

Cause: fixed shares of the limit stood for the calls of second runs, calls earned resends although the limit counts requests of clients, and a first refusal of a caller used up what a second, final one needed.

Change: answers say how many calls their run made, so retry.Windows charges a resend for them, and takes the charge back if the server refuses it. Calls earn nothing. Callers that have been refused before, and calls, may use 0.8 of the limit, others 0.4.

--- a/internal/mesh/calls_test.go
+++ b/internal/mesh/calls_test.go
@@ -27,7 +27,7 @@
 				run, ok := p.runs.Parent("a")
 				assert.Check(t, ok && run.Priority == 2)
 				if c.callFails {
-					p.runs.CallFailed("a")
+					p.runs.Called("a", "t", nil, true)
 				}
 				w.WriteHeader(http.StatusInternalServerError)
 			}))
@@ -37,7 +37,8 @@
 				deadline := time.Now().Add(10 * time.Second)
 				result := p.serve(t.Context(), call.Request{ID: "a", Method: http.MethodGet, URI: "/", Host: "h", Service: "s", Route: "r", Priority: 2, Deadline: deadline, Objective: deadline, Last: true}, 0)
 				assert.Assert(t, result.err == nil, "%v", result.err)
-				assert.Equal(t, result.callFailed, c.callFails)
+				assert.Equal(t, result.calls.Failed, c.callFails)
+				assert.Equal(t, result.calls.Calls["t"] == 1, c.callFails, "%v", result.calls.Calls)
 			}
 			assert.Equal(t, p.load().Unhealthy, c.unhealthy)
 			_, running := p.runs.Parent("a")
--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -17,6 +17,9 @@
 type dispatch struct {
 	*dispatcher
 	request call.Request
+	// isCall is set for a call of the local backend server, retried if the caller has
+	// been waiting since an earlier attempt.
+	isCall, retried bool
 	// attempts is how many servers the request may reach.
 	attempts int
 
@@ -34,8 +37,10 @@
 	unacknowledged int
 	search         placement.Search
 	// ran is set when the request may have run.
-	ran  bool
-	last *fault.Error
+	ran bool
+	// calls counts the calls by service that were made for the request.
+	calls map[string]int
+	last  *fault.Error
 	// resendGranted is set when the resend window has allowed the next send, and resends
 	// counts the sends that it has allowed.
 	resendGranted bool
@@ -48,7 +53,9 @@
 // run returns the answer, or an error whose outcome holds for all sends.
 func (d *dispatch) run(ctx context.Context) (*call.Answer, error) {
 	d.start = time.Now()
-	d.countRequest(d.request.Service, d.start)
+	if !d.isCall {
+		d.countRequest(d.request.Service, d.start)
+	}
 	defer d.open.cancelAll()
 	for ctx.Err() == nil {
 		s, ok := d.next(ctx)
@@ -124,8 +131,9 @@
 	if result.answer != nil {
 		d.reached++
 		d.ran = true
+		d.countCalls(result.calls.Calls)
 		// Another server would make the call again that has just failed.
-		if result.answer.Status < http.StatusInternalServerError || result.callFailed {
+		if result.answer.Status < http.StatusInternalServerError || result.calls.Failed {
 			return result.answer, true
 		}
 		if d.open.count == 0 {
@@ -151,11 +159,25 @@
 		d.ran = true
 	case result.err.Kind == fault.KindShed:
 		d.reached++
+		if d.resends > 0 {
+			d.resendNotRun(d.request.Route)
+		}
 	}
 	d.search.Failed(node)
 	return nil, false
 }
 
+// countCalls records the calls of a run that has answered.
+func (d *dispatch) countCalls(calls map[string]int) {
+	d.runAnswered(d.request.Route, calls)
+	for service, n := range calls {
+		if d.calls == nil {
+			d.calls = make(map[string]int)
+		}
+		d.calls[service] += n
+	}
+}
+
 // final reports whether the request must not be sent again.
 func (d *dispatch) final(ctx context.Context) bool {
 	if d.resendGranted {
@@ -169,7 +191,7 @@
 		var buf [32]placement.Server
 		return !d.search.HasCapacityElsewhere(&d.Costs, d.directory.servers(d.request.Service, buf[:0]), d.placementRequest(), time.Now())
 	case d.last.Kind == fault.KindShed:
-		return d.serversUsed() >= d.attempts || !d.resend(shedShare, time.Now())
+		return d.serversUsed() >= d.attempts || !d.resend(d.shedShare(), time.Now())
 	case d.last.Outcome == fault.Refused:
 		// The send has reached no server, but an earlier one may have.
 		return d.resends < d.reached && !d.mayResend(ctx)
@@ -195,9 +217,18 @@
 		now.Add(d.usualDuration()).Before(d.request.Deadline) && d.resend(resendShare, now)
 }
 
-// resend takes a resend from the window of the service.
+// shedShare returns the share of the limit on resends that the request may use after
+// its server has refused it.
+func (d *dispatch) shedShare() float64 {
+	if d.retried || d.isCall {
+		return lastTryShare
+	}
+	return resendShare
+}
+
+// resend takes a resend within a share of the limit.
 func (d *dispatch) resend(share float64, now time.Time) bool {
-	if !d.takeResend(d.request.Service, share, now) {
+	if !d.takeResend(d.request, share, now) {
 		return false
 	}
 	d.resends++
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/chain"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
 	"github.com/vanillasail/vanillasail/pkg/retry"
@@ -21,15 +22,13 @@
 	// maxSends bounds the sends of one request to nodes, regardless of their results.
 	maxSends = 12
 	// resendShare is the share of the platform's limit on resends that may be used for
-	// requests that may have run. A second run of a request repeats its calls to other
-	// services; they count again at those services and can be resent too. The share
-	// keeps the sum within the limit if each run makes two calls that are resent as
-	// often.
-	resendShare = 0.25
-	// shedShare is the same share for requests that their server refused. A refused
-	// request has made no calls to other services; with two calls a run, half of the
-	// limit remains for the service called.
-	shedShare = 0.5
+	// requests that may have run, and for those that their server refused while their
+	// callers may still retry.
+	resendShare = 0.4
+	// lastTryShare is the share for requests that their server refused and whose callers
+	// have been refused before, because most callers retry only once, and for calls,
+	// because the request that waits for one has used a slot already.
+	lastTryShare = 0.8
 	// usualAnswerBytes is the assumed size of an answer in the transfer costs of a
 	// placement.
 	usualAnswerBytes = 2 << 10
@@ -55,18 +54,18 @@
 	version   func() uint64
 	onVersion func(version uint64, from roster.Entry)
 
-	mu            sync.Mutex
-	resendWindows map[string]*retry.Window
+	mu      sync.Mutex
+	resends retry.Windows
 	// longestTimeout is the longest timeout of a request seen for each route. A caller
 	// that retries sets a shorter one, the time that it has left; the difference is how
 	// long it has been waiting.
 	longestTimeout map[string]time.Duration
 }
 
-// prepare completes a parsed request with the settings of its route. The latency
-// objective counts from the caller's first attempt, because the caller measures the
-// latency from there.
-func (d *dispatcher) prepare(r call.Request, rt route.Route, service string) call.Request {
+// prepare completes a parsed request with the settings of its route, and estimates how
+// long its caller has been waiting already. The latency objective counts from the
+// caller's first attempt, because the caller measures the latency from there.
+func (d *dispatcher) prepare(r call.Request, rt route.Route, service string) (_ call.Request, elapsed time.Duration) {
 	now := r.Arrived
 	r.Service, r.Route, r.Idempotent, r.Priority, r.Origin = service, rt.Name, rt.Idempotent, rt.Priority, d.Service
 	limit := now.Add(rt.Timeout)
@@ -77,10 +76,11 @@
 	if r.Deadline.IsZero() || limit.Before(r.Deadline) {
 		r.Deadline = limit
 	}
+	elapsed = d.elapsed(rt.Name, left)
 	if rt.Objective > 0 {
-		r.Objective = now.Add(rt.Objective - d.elapsed(rt.Name, left))
+		r.Objective = now.Add(rt.Objective - elapsed)
 	}
-	return r
+	return r, elapsed
 }
 
 // elapsed estimates how long the caller has been waiting already.
@@ -96,17 +96,10 @@
 	return d.longestTimeout[route] - left
 }
 
-// resendWindow returns the window that limits the resends of a service. The caller
-// holds d.mu.
-func (d *dispatcher) resendWindow(service string) *retry.Window {
-	if d.resendWindows == nil {
-		d.resendWindows = make(map[string]*retry.Window)
-	}
-	w := d.resendWindows[service]
-	if w == nil {
-		w = &retry.Window{Span: d.Bounds.RetrySpan, Ratio: d.Bounds.RetryRatio}
-		d.resendWindows[service] = w
-	}
+// resendLimits returns the limits on resends. The caller holds d.mu.
+func (d *dispatcher) resendLimits() *retry.Windows {
+	w := &d.resends
+	w.Span, w.Ratio = d.Bounds.RetrySpan, d.Bounds.RetryRatio
 	w.Fixed = d.Bounds.RetryFixed / float64(max(d.directory.count(), 1))
 	return w
 }
@@ -114,13 +107,27 @@
 func (d *dispatcher) countRequest(service string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.resendWindow(service).Request(now)
+	d.resendLimits().Request(service, now)
+}
+
+func (d *dispatcher) takeResend(r call.Request, share float64, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.resendLimits().Take(r.Service, r.Route, share, now)
+}
+
+// resendNotRun records that a server refused a resend.
+func (d *dispatcher) resendNotRun(route string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.resendLimits().NotRun(route, time.Now())
 }
 
-func (d *dispatcher) takeResend(service string, share float64, now time.Time) bool {
+// runAnswered records the calls of a run.
+func (d *dispatcher) runAnswered(route string, calls map[string]int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.resendWindow(service).Take(now, share)
+	d.resendLimits().Ran(route, calls, time.Now())
 }
 
 // send sends the request to the chosen server: directly if the server is beside this
@@ -147,7 +154,7 @@
 	// Without an acknowledgement the failure is that of the node or the network, not of
 	// its server. A canceled send says nothing either.
 	canceled := result.err != nil && errors.Is(ctx.Err(), context.Canceled)
-	if result.ran && !result.unacknowledged && !result.callFailed && !canceled {
+	if result.ran && !result.unacknowledged && !result.calls.Failed && !canceled {
 		d.directory.observeOutcome(node, result.err != nil && ctx.Err() == nil || result.answer != nil && result.answer.Status >= http.StatusInternalServerError, now)
 	}
 	return result
@@ -209,7 +216,7 @@
 		_ = answer.Body.Close()
 		return sendResult{err: fault.New(fault.KindCutShort, "reply of node %s: %v", to.Node, err), ran: true}
 	}
-	result := sendResult{ran: reply.Ran, err: reply.Fault, ticket: reply.Ticket, callFailed: reply.CallFailed}
+	result := sendResult{ran: reply.Ran, err: reply.Fault, ticket: reply.Ticket, calls: chain.Summary{Calls: reply.Calls, Failed: reply.CallFailed}}
 	if reply.Load != nil {
 		result.load = *reply.Load
 	}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -16,6 +16,7 @@
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
 	"github.com/vanillasail/vanillasail/pkg/slots"
@@ -150,16 +151,19 @@
 	if !ok {
 		return nil, n.logRejected(r.ID, fault.New(fault.KindNotFound, "no route for host %q and path %.80q in version %d", r.Host, r.URI, table.Document.Version))
 	}
-	d := dispatch{dispatcher: &n.dispatcher, request: n.dispatcher.prepare(r, rt, service), attempts: rt.MaxAttempts}
+	d := dispatch{dispatcher: &n.dispatcher, attempts: rt.MaxAttempts}
+	var elapsed time.Duration
+	d.request, elapsed = n.dispatcher.prepare(r, rt, service)
+	d.retried = elapsed >= retry.MinWait
 	parent, isCall := n.serverProxy.runs.Parent(r.Parent)
-	if isCall {
+	if d.isCall = isCall; isCall {
 		d.request = d.request.AsCall(parent.CallPriority(rt.Priority))
 	}
 	ctx, cancel := context.WithDeadline(ctx, d.request.Deadline)
 	answer, err := d.run(ctx)
 	n.requestMetrics.observe(d.request, answer, err, time.Since(r.Arrived))
-	if isCall && (err != nil || answer.Status >= http.StatusInternalServerError) {
-		n.serverProxy.runs.CallFailed(r.Parent)
+	if isCall {
+		n.serverProxy.runs.Called(r.Parent, service, d.calls, err != nil || answer.Status >= http.StatusInternalServerError)
 	}
 	if err != nil {
 		cancel()
@@ -249,7 +253,7 @@
 		r.Body = in.Body
 		result = n.serverProxy.serve(ctx, r, m.Ticket)
 	}
-	head := response{Fault: result.err, Ran: result.ran, CallFailed: result.callFailed, Load: &result.load, Version: n.follower.version(), Ticket: result.ticket}
+	head := response{Fault: result.err, Ran: result.ran, CallFailed: result.calls.Failed, Calls: result.calls.Calls, Load: &result.load, Version: n.follower.version(), Ticket: result.ticket}
 	if n.directory.summaryDue(string(in.From), time.Now()) {
 		head.SlotSummary = n.serverProxy.summary()
 	}
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -73,9 +73,9 @@
 	// await returns the result of an unacknowledged send that is still open. It must be
 	// called; nil if the send has ended.
 	await func(ctx context.Context) sendResult
-	// callFailed is set when a call failed that the server made for the request, so that
+	// calls are the calls that the server made for the request. If one of them failed,
 	// the result says nothing about the server.
-	callFailed bool
+	calls chain.Summary
 	// ticket identifies the slot that is reserved for the request.
 	ticket uint64
 }
@@ -103,15 +103,15 @@
 	}
 	p.runs.Add(r.ID, r.Priority, r.Deadline)
 	answer, failure := p.run(ctx, r)
-	callFailed := p.runs.Remove(r.ID)
-	p.leave(run, answer, failure, callFailed)
+	calls := p.runs.Remove(r.ID)
+	p.leave(run, answer, failure, calls.Failed)
 	if failure != nil && (failure.Kind == fault.KindServerLost || failure.Kind == fault.KindCutShort) {
 		go p.connectionBroken(r, start)
 	} else {
 		p.crash.end(start, failure == nil && answer.Outcome != fault.Refused)
 	}
 	if failure != nil {
-		return sendResult{err: failure, load: p.load(), ran: failure.Outcome != fault.Refused, callFailed: callFailed}
+		return sendResult{err: failure, load: p.load(), ran: failure.Outcome != fault.Refused, calls: calls}
 	}
 	if answer.Outcome == fault.Refused {
 		p.checkMisdirected(answer)
@@ -119,7 +119,7 @@
 	}
 	p.sizes.observe(r.Route, answer.Length)
 	answer.Load = p.load()
-	return sendResult{answer: answer, load: answer.Load, ran: true, callFailed: callFailed}
+	return sendResult{answer: answer, load: answer.Load, ran: true, calls: calls}
 }
 
 // connectionBroken checks whether the server has crashed, after the connection of a
--- a/pkg/chain/runs.go
+++ b/pkg/chain/runs.go
@@ -3,6 +3,7 @@
 package chain
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -28,6 +29,17 @@
 	requests int
 	// failedCalls counts the calls that got no successful answer.
 	failedCalls int
+	// calls counts the calls by service, with those that were made for them.
+	calls map[string]int
+}
+
+// Summary is what is known of the calls of a run when it ends.
+type Summary struct {
+	// Calls is the number of calls by service, with those that were made for them in
+	// turn; nil if there were none.
+	Calls map[string]int
+	// Failed is set when a call got no successful answer.
+	Failed bool
 }
 
 // Add adds a request that the server begins to run.
@@ -45,18 +57,18 @@
 	run.requests++
 }
 
-// Remove removes a request that has ended, and reports whether one of its calls failed.
-func (r *Runs) Remove(id string) (callFailed bool) {
+// Remove removes a request that has ended, and returns what is known of its calls.
+func (r *Runs) Remove(id string) Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	run := r.runs[id]
 	if run == nil {
-		return false
+		return Summary{}
 	}
 	if run.requests--; run.requests == 0 {
 		delete(r.runs, id)
 	}
-	return run.failedCalls > 0
+	return Summary{Calls: maps.Clone(run.calls), Failed: run.failedCalls > 0}
 }
 
 // Parent returns the running request with the ID; false if there is none, so that a
@@ -71,13 +83,25 @@
 	return *run, true
 }
 
-// CallFailed records that a call of the request got no successful answer.
-func (r *Runs) CallFailed(id string) {
+// Called records a call of the request, with the calls that were made for it in turn.
+// failed is set when it got no successful answer.
+func (r *Runs) Called(id, service string, calls map[string]int, failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if run := r.runs[id]; run != nil {
+	run := r.runs[id]
+	if run == nil {
+		return
+	}
+	if failed {
 		run.failedCalls++
 	}
+	if run.calls == nil {
+		run.calls = make(map[string]int)
+	}
+	run.calls[service]++
+	for name, n := range calls {
+		run.calls[name] += n
+	}
 }
 
 // CallPriority returns the priority of a call: at least one level above the request
--- a/pkg/chain/runs_test.go
+++ b/pkg/chain/runs_test.go
@@ -19,15 +19,17 @@
 	run, ok := r.Parent("a")
 	assert.Assert(t, ok)
 	assert.Equal(t, run.Deadline, deadline)
-	r.CallFailed("a")
-	r.CallFailed("unknown")
+	r.Called("a", "t", map[string]int{"u": 2}, true)
+	r.Called("a", "t", nil, false)
+	r.Called("unknown", "t", nil, true)
 	r.Add("a", 2, deadline) // a second try at the same server
-	assert.Assert(t, r.Remove("a"))
+	summary := Summary{Calls: map[string]int{"t": 2, "u": 2}, Failed: true}
+	assert.DeepEqual(t, r.Remove("a"), summary)
 	_, ok = r.Parent("a")
 	assert.Assert(t, ok, "one of two requests has ended")
-	assert.Assert(t, r.Remove("a"))
-	assert.Assert(t, !r.Remove("b"))
-	assert.Assert(t, !r.Remove("b"), "removed twice")
+	assert.DeepEqual(t, r.Remove("a"), summary)
+	assert.DeepEqual(t, r.Remove("b"), Summary{})
+	assert.DeepEqual(t, r.Remove("b"), Summary{})
 	_, ok = r.Parent("a")
 	assert.Assert(t, !ok)
 }
