mesh: send configurations between nodes as patches

Cause: above 24 nodes most get each configuration from another node, as a whole document.

Change: a node names the configuration that it has by its digest, and gets a patch to it if it is one of the last three, else the compressed document. A node that names none, of an older version, gets the document as before.

--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -33,42 +33,53 @@
 }
 
 func (a *announcer) fetchFrom(ctx context.Context, from roster.Entry) error {
-	head, err := encode(message{Fetch: true})
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	raw, err := a.fetchRaw(ctx, from, peer.Request{Head: head, AwaitAck: true})
-	if err != nil {
-		return err
-	}
-	document, err := a.Registry.Decode(raw)
+	v, err := a.requestConfiguration(ctx, from, message{Fetch: true})
 	if err != nil {
 		return err
 	}
-	a.follower.apply(Snapshot{Document: document, Raw: raw}, "node "+from.Node)
+	a.follower.apply(v, "node "+from.Node)
 	return nil
 }
 
-// fetchRaw sends a request whose answer is a configuration.
-func (a *announcer) fetchRaw(ctx context.Context, from roster.Entry, r peer.Request) ([]byte, error) {
-	answer, err := a.peers.Call(ctx, from.Addr, r)
+// requestConfiguration sends a message whose answer is a configuration or a patch to it.
+func (a *announcer) requestConfiguration(ctx context.Context, from roster.Entry, m message) (Snapshot, error) {
+	base, digest := a.follower.patches.base()
+	m.Patch = &patchInfo{Base: digest}
+	head, err := encode(m)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	answer, err := a.peers.Call(ctx, from.Addr, peer.Request{Head: head, AwaitAck: true})
 	if err != nil {
 		if ctx.Err() == nil {
 			a.directory.markUnreachable(from.Node, err, time.Now())
 		}
-		return nil, err
+		return Snapshot{}, err
 	}
 	defer answer.Body.Close()
 	a.directory.markReachable(from.Node)
 	var reply response
 	if err := wire.Unmarshal(answer.Head, &reply); err != nil {
-		return nil, eris.Wrap(err, "reply of another node")
+		return Snapshot{}, eris.Wrap(err, "reply of another node")
 	}
 	if reply.Fault != nil {
-		return nil, reply.Fault
+		return Snapshot{}, reply.Fault
 	}
 	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxConfiguration))
-	return raw, eris.Wrap(err, "read the configuration of another node")
+	if err != nil {
+		return Snapshot{}, eris.Wrap(err, "read the configuration of another node")
+	}
+	transferred := len(raw)
+	if p := reply.Patch; p != nil {
+		if p.Base != digest {
+			base = nil
+		}
+		if raw, err = wire.Apply(raw, base, maxConfiguration); err != nil {
+			return Snapshot{}, eris.Wrap(err, "configuration of another node")
+		}
+	}
+	document, err := a.Registry.Decode(raw)
+	return Snapshot{Document: document, Raw: raw, Transferred: transferred}, err
 }
--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -46,6 +46,9 @@
 	// node.
 	askRelay func(ctx context.Context, to roster.Entry) (Snapshot, error)
 
+	// patches makes patches to the configuration in force.
+	patches patches
+
 	mu    sync.Mutex
 	raw   []byte
 	table atomic.Pointer[route.Table]
@@ -93,11 +96,12 @@
 	}
 	table := route.NewTable(v.Document)
 	f.raw = v.Raw
+	f.patches.add(v.Raw)
 	f.table.Store(table)
 	f.notifyChanged()
 	f.mu.Unlock()
 	f.Log.WithField("version", v.Document.Version).WithField("routes", len(v.Document.Routes)).
-		WithField("from", from).Info("configuration in force")
+		WithField("from", from).WithField("bytes", v.Transferred).Info("configuration in force")
 	f.onApplied(table)
 }
 
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -29,6 +29,8 @@
 	// Follow requests the next configuration after this version; the answer waits
 	// until there is one.
 	Follow *uint64 `msgpack:"w,omitempty"`
+	// Patch is set with Fetch and Follow by a node that accepts a patch.
+	Patch *patchInfo `msgpack:"p,omitempty"`
 	// Crash reports a crash of the sender's backend server.
 	Crash *quarantine.Incident `msgpack:"x,omitempty"`
 	// Version is the configuration that the sender of a Call or Reserve has.
@@ -63,6 +65,8 @@
 	// Ticket identifies the slot that is reserved for the request.
 	Ticket uint64      `msgpack:"t,omitempty"`
 	Update *nodeUpdate `msgpack:"w,omitempty"`
+	// Patch is set if the configuration in the answer is a patch.
+	Patch *patchInfo `msgpack:"p,omitempty"`
 	// Version is the configuration that the node has.
 	Version uint64 `msgpack:"v,omitempty"`
 }
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -231,10 +231,10 @@
 		n.announcer.receive(n.runCtx, *m.Update)
 		return n.reply(response{Update: n.announcer.updateReply(*m.Update)}, nil)
 	case m.Fetch:
-		return n.reply(response{}, n.follower.current())
+		return n.configuration(n.follower.current(), nil, m.Patch)
 	case m.Follow != nil:
 		raw, err := n.follower.relay(ctx, n.stopping.Load, *m.Follow)
-		return n.reply(response{Fault: err}, raw)
+		return n.configuration(raw, err, m.Patch)
 	case m.Crash != nil:
 		return n.reply(response{Fault: n.serverProxy.crash.receive(string(in.From), *m.Crash)}, nil)
 	case m.Call == nil && m.Reserve == nil:
@@ -268,6 +268,20 @@
 	return reply
 }
 
+// configuration replies with the configuration in force, as a patch if the other node
+// accepts one.
+func (n *Node) configuration(raw []byte, err *fault.Error, accepted *patchInfo) peer.Reply {
+	if err != nil || raw == nil || accepted == nil {
+		return n.reply(response{Fault: err}, raw)
+	}
+	patch, base, failure := n.follower.patches.from(accepted.Base)
+	if failure != nil {
+		n.Log.WithError(failure).Error("cannot compress the configuration")
+		return n.reply(response{}, raw)
+	}
+	return n.reply(response{Patch: &patchInfo{Base: base}}, patch)
+}
+
 func (n *Node) reply(head response, body []byte) peer.Reply {
 	raw, err := encode(head)
 	if err != nil {
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -55,6 +55,8 @@
 	// Document is nil when there is no valid configuration.
 	Document *route.Document
 	Raw      []byte
+	// Transferred is the number of bytes that were read.
+	Transferred int
 	// Position is the position from which to wait for the next change.
 	Position uint64
 	// Clock is the registry's monotonic clock at the answer; zero where it is not
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/clock"
-	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
@@ -106,17 +105,9 @@
 // fetchNext requests the next version from another node.
 func (a *announcer) fetchNext(ctx context.Context, to roster.Entry) (Snapshot, error) {
 	version := a.follower.version()
-	head, err := encode(message{Follow: &version})
-	if err != nil {
-		return Snapshot{}, err
+	v, err := a.requestConfiguration(ctx, to, message{Follow: &version})
+	if err != nil && ctx.Err() == nil {
+		a.directory.avoidRelay(to.Node, time.Now().Add(relayAvoidTime))
 	}
-	raw, err := a.fetchRaw(ctx, to, peer.Request{Head: head, AwaitAck: true})
-	if err != nil {
-		if ctx.Err() == nil {
-			a.directory.avoidRelay(to.Node, time.Now().Add(relayAvoidTime))
-		}
-		return Snapshot{}, err
-	}
-	document, err := a.Registry.Decode(raw)
-	return Snapshot{Document: document, Raw: raw}, err
+	return v, err
 }
