peer: close a connection that is dialed while its client is closed

Seen in a new test of mesh under the race detector, 1 of 20 runs: Client.Close read the socket of a link that a dial was about to set.

Cause: the dial set the socket without the link's lock, and did not look whether the link had ended meanwhile. Such a connection was left open after Close, by nobody.

Change: the socket is set under the lock; a link that has ended closes it instead.

Result: TestCloseDuringDial failed before, passes 20 of 20 (go test -race).

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -63,8 +63,15 @@
 }
 
 func (l *link) start(conn net.Conn, hello []byte) error {
+	l.mu.Lock()
+	if l.ended {
+		l.mu.Unlock()
+		_ = conn.Close()
+		return ErrConnectionLost
+	}
 	l.socket = newSocket(conn)
 	l.lastFrame, l.lastUsed = time.Now(), time.Now()
+	l.mu.Unlock()
 	return l.socket.frame(frameHello, 0, hello)
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -301,6 +301,16 @@
 	}
 }
 
+// Guards against a connection that stays open because its client was closed during the dial.
+func TestCloseDuringDial(t *testing.T) {
+	near, far := net.Pipe()
+	l := newLink()
+	l.end(ErrConnectionLost)
+	go func() { assert.Check(t, l.start(near, nil) != nil) }()
+	_, err := far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 // Guards against losing answers that have arrived because this process stood still: the
 // silence of the connection is then its own.
 func TestStalledProcessKeepsItsConnections(t *testing.T) {
