Keep reservations open whose acknowledgement is late

What callers saw: a request with a body of 8 KB or more got 503 after about 0.5 s when two nodes acknowledged its reservations late, with most of its deadline left. It had not run.

Cause: a reservation that was not acknowledged in 250 ms was canceled, though the node was only late. With each such node one less was left to try.

Change: the reservation stays open beside the next one. The first ticket is used: the body goes to that node only, on the connection on which the ticket came (a new one would have to be dialed over the same slow path; the ticket shows that this one works, so no ping comes before the body). The other reservations are canceled, and a ticket that is on its way is given back. The answer to a reservation stays open for as long as the ticket is valid, so the far node frees the slot when the stream is reset or its connection ends; there is no new message. A node of the version before closes this answer at once: its ticket is void then, and its body enters as one without a ticket.

A late reservation reached no server: it counts neither as an attempt nor as a request that may have run. Once a server was reached, open reservations are canceled, since another run needs the allowance for resends.

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -26,6 +26,8 @@
 	open openSends
 	// waiting is set while the result of the last send is awaited beside open ones.
 	waiting bool
+	// reserving is set if that send only reserves a slot.
+	reserving bool
 	// exhausted is set when the request must not be sent again.
 	exhausted bool
 	// reached counts the servers that the request has reached.
@@ -68,6 +70,15 @@
 // next returns the result of the next send, or of an open one. ok is false when none is
 // left.
 func (d *dispatch) next(ctx context.Context) (s send, ok bool) {
+	s, ok = d.sendNext(ctx)
+	for ok && s.result.slot != nil {
+		s, ok = d.useSlot(ctx, s)
+	}
+	return s, ok
+}
+
+// sendNext is like next, but the result may be a reserved slot.
+func (d *dispatch) sendNext(ctx context.Context) (s send, ok bool) {
 	if d.exhausted || d.waiting || d.sends >= maxSends {
 		return d.open.next(ctx)
 	}
@@ -76,17 +87,37 @@
 		return d.open.next(ctx)
 	}
 	d.sends++
-	s = send{number: d.sends, choice: choice, last: last, at: time.Now()}
+	s = send{number: d.sends, choice: choice, last: last, at: time.Now(), reserving: reserves(d.request, choice)}
 	r := d.request.WithTarget("", last)
-	if d.open.count == 0 {
-		s.result = d.send(ctx, r, choice)
+	return d.begin(ctx, s, func(ctx context.Context) sendResult { return d.send(ctx, r, choice) })
+}
+
+// begin runs a send and returns its result, or that of an open one.
+func (d *dispatch) begin(ctx context.Context, s send, run func(ctx context.Context) sendResult) (send, bool) {
+	if d.open.idle() {
+		s.result = run(ctx)
 		return s, true
 	}
-	d.waiting = true
-	d.open.start(ctx, s, func(ctx context.Context) sendResult { return d.send(ctx, r, choice) })
+	d.waiting, d.reserving = true, s.reserving
+	d.open.start(ctx, s, run)
 	return d.open.next(ctx)
 }
 
+// useSlot sends the body to the node that has reserved a slot first, and gives up the
+// other reservations. It returns the next result.
+func (d *dispatch) useSlot(ctx context.Context, s send) (send, bool) {
+	slot := s.result.slot
+	if ctx.Err() != nil || s.late && d.waiting && !d.reserving {
+		slot.release() // the request may be running at another server
+		return d.open.next(ctx)
+	}
+	d.open.cancelReservations()
+	d.waiting = false
+	r := d.request.WithTarget("", s.last)
+	s.late, s.reserving, s.result = false, false, sendResult{}
+	return d.begin(ctx, s, func(ctx context.Context) sendResult { return d.sendBody(ctx, r, slot) })
+}
+
 // choose picks a server. last is set when no other server is left, so that the
 // request should be queued there.
 func (d *dispatch) choose(now time.Time) (choice placement.Choice, last, ok bool) {
@@ -110,20 +141,20 @@
 // caller gets it.
 func (d *dispatch) evaluate(ctx context.Context, s send) (*call.Answer, bool) {
 	node, result := s.choice.Server.ID, s.result
-	if s.late {
-		d.unacknowledged--
-	} else {
+	switch {
+	case !s.late:
 		d.waiting = false
+	case !s.reserving:
+		d.unacknowledged--
 	}
 	d.logSend(s)
 	if result.await != nil {
 		s.late = true
 		d.open.start(ctx, s, func(ctx context.Context) sendResult { return d.observe(ctx, node, result.await) })
-		result.unacknowledged = true
+		result.unacknowledged = !s.reserving
 	}
 	if result.answer != nil {
-		d.reached++
-		d.ran = true
+		d.serverReached(true)
 		// Another server would make the call again that has just failed.
 		if result.answer.Status < http.StatusInternalServerError || result.callFailed {
 			return result.answer, true
@@ -147,15 +178,25 @@
 	case result.unacknowledged:
 		d.unacknowledged++
 	case result.ran:
-		d.reached++
-		d.ran = true
+		d.serverReached(true)
 	case result.err.Kind == fault.KindShed:
-		d.reached++
+		d.serverReached(false)
 	}
 	d.search.Failed(node)
 	return nil, false
 }
 
+// serverReached counts a server that the request has reached. Whether another one may get
+// it is decided anew, so a slot that is still reserved for it must not be used.
+func (d *dispatch) serverReached(ran bool) {
+	d.reached++
+	d.ran = d.ran || ran
+	d.open.cancelReservations()
+	if d.reserving {
+		d.waiting = false
+	}
+}
+
 // final reports whether the request must not be sent again.
 func (d *dispatch) final(ctx context.Context) bool {
 	if d.resendGranted {
@@ -186,7 +227,9 @@
 func (d *dispatch) serversUsed() int { return d.reached + d.unacknowledged }
 
 // mayHaveRun reports whether a server may run the request or have run it.
-func (d *dispatch) mayHaveRun() bool { return d.ran || d.unacknowledged > 0 || d.waiting }
+func (d *dispatch) mayHaveRun() bool {
+	return d.ran || d.unacknowledged > 0 || d.waiting && !d.reserving
+}
 
 // mayResend reports whether a request that may have run may be sent again.
 func (d *dispatch) mayResend(ctx context.Context) bool {
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -160,17 +160,12 @@
 	}
 	body := r.Body
 	r.Body = nil
-	m := message{Call: withRemainingTimes(r, time.Now()), Version: d.version()}
+	m := message{Version: d.version()}
 	if len(body) >= minReserveBytes {
-		result := d.exchange(ctx, to, message{Reserve: m.Call, Version: m.Version}, peer.Request{AwaitAck: true})
-		if result.err != nil {
-			// Without its body the request cannot have run.
-			result.ran, result.unacknowledged = false, false
-			result.err = result.err.WithOutcome(fault.Refused)
-			return result
-		}
-		m.Call, m.Ticket = withRemainingTimes(r, time.Now()), result.ticket
+		m.Reserve = withRemainingTimes(r, time.Now())
+		return d.exchange(ctx, to, m, peer.Request{AwaitAck: true, KeepOpen: true})
 	}
+	m.Call = withRemainingTimes(r, time.Now())
 	// An idempotent request can be sent to another node if this one does not acknowledge
 	// it. Any other request cannot, so the connection is checked before it is sent.
 	return d.exchange(ctx, to, m, peer.Request{Body: body, AwaitAck: r.Idempotent, KeepOpen: r.Idempotent, CheckLiveness: !r.Idempotent})
@@ -200,6 +195,16 @@
 
 // receive returns the result of an exchange.
 func (d *dispatcher) receive(ctx context.Context, to roster.Entry, m message, answer *peer.Answer, err error) sendResult {
+	result := d.decode(ctx, to, m, answer, err)
+	if m.Reserve != nil && result.err != nil {
+		// Without its body the request cannot have run.
+		result.ran, result.unacknowledged = false, false
+		result.err = result.err.WithOutcome(fault.Refused)
+	}
+	return result
+}
+
+func (d *dispatcher) decode(ctx context.Context, to roster.Entry, m message, answer *peer.Answer, err error) sendResult {
 	if err != nil {
 		return callFailed(ctx, to.Node, err)
 	}
@@ -209,17 +214,22 @@
 		_ = answer.Body.Close()
 		return sendResult{err: fault.New(fault.KindCutShort, "reply of node %s: %v", to.Node, err), ran: true}
 	}
-	result := sendResult{ran: reply.Ran, err: reply.Fault, ticket: reply.Ticket, callFailed: reply.CallFailed}
-	if reply.Load != nil {
+	result := sendResult{ran: reply.Ran, err: reply.Fault, callFailed: reply.CallFailed}
+	// The load after a reservation counts the reserved slot, as does the send of the body.
+	if reply.Load != nil && reply.Ticket == 0 {
 		result.load = *reply.Load
 	}
 	d.onVersion(reply.Version, to)
 	if len(reply.SlotSummary) > 0 {
 		d.directory.setSummary(to.Node, reply.SlotSummary)
 	}
-	if reply.Fault != nil || m.Reserve != nil {
+	switch {
+	case reply.Fault != nil:
 		_ = answer.Body.Close()
 		return result
+	case m.Reserve != nil:
+		result.slot = &reservedSlot{node: to, ticket: reply.Ticket, answer: answer}
+		return result
 	}
 	d.sizes.observe(m.Call.Route, reply.Length)
 	result.answer = &call.Answer{Status: reply.Status, Header: reply.Header, Length: reply.Length, Body: answer.Body, Outcome: fault.Ran, Server: to.Node}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -254,7 +254,11 @@
 		head.SlotSummary = n.serverProxy.summary()
 	}
 	if result.answer == nil {
-		return n.reply(head, nil)
+		reply := n.reply(head, nil)
+		if result.hold != nil {
+			reply.Rest = result.hold
+		}
+		return reply
 	}
 	head.Status, head.Header, head.Length = result.answer.Status, result.answer.Header, result.answer.Length
 	reply := n.reply(head, result.answer.Buffered)
--- a/internal/mesh/open_sends.go
+++ b/internal/mesh/open_sends.go
@@ -16,28 +16,57 @@
 	last bool
 	at   time.Time
 	// late is set when the node did not acknowledge the send in time and it stayed open.
-	late   bool
-	result sendResult
+	late bool
+	// reserving is set until a slot is reserved for the request, whose body has not been
+	// sent.
+	reserving bool
+	result    sendResult
+}
+
+// discard releases what the result of a canceled send holds.
+func (s send) discard() {
+	if s.result.await != nil {
+		canceled, cancel := context.WithCancel(context.Background())
+		cancel()
+		s.result = s.result.await(canceled)
+	}
+	if s.result.answer != nil {
+		_ = s.result.answer.Open().Close()
+	}
+	if s.result.slot != nil {
+		s.result.slot.release()
+	}
 }
 
 // openSends holds the sends of one request that run beside each other. A node that does
 // not acknowledge a request in time may only be slow, so the request is sent to another
 // node without giving up the first send. The zero value holds none.
 type openSends struct {
-	// count is the number of sends that have no result yet.
-	count   int
-	results chan send
-	// cancels holds a function for each send that ends it.
-	cancels map[int]context.CancelFunc
+	// count is the number of sends that have no result yet, and canceled that of others
+	// whose results are discarded.
+	count, canceled int
+	results         chan send
+	// sends holds the sends that may have to be canceled, by number.
+	sends map[int]openSend
+}
+
+// openSend is a send without a result.
+type openSend struct {
+	cancel    context.CancelFunc
+	reserving bool
 }
 
+// idle reports whether no result is outstanding, not even one to be discarded.
+func (o *openSends) idle() bool { return o.count+o.canceled == 0 }
+
 // start runs a send, or the rest of it, in its own goroutine.
 func (o *openSends) start(ctx context.Context, s send, run func(ctx context.Context) sendResult) {
 	if o.results == nil {
 		o.results = make(chan send, maxSends)
-		o.cancels = make(map[int]context.CancelFunc)
+		o.sends = make(map[int]openSend)
 	}
-	ctx, o.cancels[s.number] = context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	o.sends[s.number] = openSend{cancel: cancel, reserving: s.reserving}
 	o.count++
 	go func() {
 		s.result = run(ctx)
@@ -47,44 +76,55 @@
 
 // next waits for the next result. ok is false if no send is open or ctx has ended.
 func (o *openSends) next(ctx context.Context) (s send, ok bool) {
-	if o.count == 0 {
-		return s, false
-	}
-	select {
-	case s = <-o.results:
-	case <-ctx.Done():
-		return s, false
+	for o.count > 0 {
+		select {
+		case s = <-o.results:
+		case <-ctx.Done():
+			return s, false
+		}
+		opened, ok := o.sends[s.number]
+		if !ok {
+			o.canceled--
+			go s.discard()
+			continue
+		}
+		o.count--
+		if s.result.answer == nil && s.result.slot == nil {
+			opened.cancel()
+		}
+		// The body of an answer needs its context until the request has ended.
+		delete(o.sends, s.number)
+		return s, true
 	}
-	o.count--
-	if s.result.answer == nil {
-		o.cancels[s.number]()
+	return s, false
+}
+
+// cancelReservations ends the sends that have not sent the body of the request.
+func (o *openSends) cancelReservations() {
+	for number, s := range o.sends {
+		if s.reserving {
+			s.cancel()
+			delete(o.sends, number)
+			o.count--
+			o.canceled++
+		}
 	}
-	// The body of an answer needs its context until the request has ended.
-	delete(o.cancels, s.number)
-	return s, true
 }
 
 // cancelAll ends the sends that are open.
 func (o *openSends) cancelAll() {
-	for _, cancel := range o.cancels {
-		cancel()
+	for _, s := range o.sends {
+		s.cancel()
 	}
-	if o.count > 0 {
-		go o.discard(o.count)
+	if !o.idle() {
+		go o.discard(o.count + o.canceled)
 	}
 }
 
 // discard releases the results of n canceled sends.
 func (o *openSends) discard(n int) {
-	canceled, cancel := context.WithCancel(context.Background())
-	cancel()
 	for range n {
 		s := <-o.results
-		if s.result.await != nil {
-			s.result = s.result.await(canceled)
-		}
-		if s.result.answer != nil {
-			_ = s.result.answer.Open().Close()
-		}
+		s.discard()
 	}
 }
--- a/internal/mesh/reserve_test.go
+++ b/internal/mesh/reserve_test.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,8 +38,19 @@
 		assert.Equal(t, p.load().InFlight, 0)
 		assert.Assert(t, p.redeem(first.ticket) == nil)
 
+		ctx, cancel := context.WithCancel(t.Context())
+		canceled := p.reserve(ctx, r)
+		cancel()
+		_, err := canceled.hold.Read(nil)
+		assert.Equal(t, err, io.EOF)
+		assert.NilError(t, canceled.hold.Close())
+		assert.Equal(t, p.load().InFlight, 0)
+
 		third := p.reserve(t.Context(), r)
 		assert.Assert(t, p.redeem(third.ticket) != nil)
+		_, err = third.hold.Read(nil)
+		assert.Equal(t, err, io.EOF)
+		assert.NilError(t, third.hold.Close())
 		assert.Assert(t, p.redeem(third.ticket) == nil)
 		time.Sleep(2 * ticketLifetime)
 		assert.Equal(t, p.load().InFlight, 1)
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -53,7 +53,7 @@
 	suggestedLimit int
 	// tickets holds the slots that are reserved for requests whose bodies are being
 	// sent.
-	tickets    map[uint64]*slots.Run
+	tickets    map[uint64]reservation
 	lastTicket uint64
 	// changed is called, without holding mu, when the entry of this node has to
 	// change.
@@ -76,8 +76,13 @@
 	// callFailed is set when a call failed that the server made for the request, so that
 	// the result says nothing about the server.
 	callFailed bool
-	// ticket identifies the slot that is reserved for the request.
+	// ticket identifies the slot that is reserved for the request, and hold is the body of
+	// the answer to the reservation.
 	ticket uint64
+	hold   *ticketHold
+	// slot is the slot that another node has reserved for the request. It must be used or
+	// released; nil if there is none.
+	slot *reservedSlot
 }
 
 // serve runs, queues or refuses the request. A ticket other than zero identifies the
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -52,6 +52,8 @@
 type Answer struct {
 	Head []byte
 	Body io.ReadCloser
+	// link is the connection of the answer.
+	link *link
 }
 
 // Request is a request to a peer.
@@ -67,11 +69,14 @@
 	// recently, if necessary the reply to a ping. It is for requests that cannot be
 	// retried elsewhere once they are sent.
 	CheckLiveness bool
+	// After is an answer whose Body is still open. The request is sent on its connection;
+	// nil means on any connection.
+	After *Answer
 }
 
 // Call sends the request once and returns its answer. The caller must close its Body.
 func (c *Client) Call(ctx context.Context, addr string, r Request) (*Answer, error) {
-	l, err := c.link(ctx, addr)
+	l, err := c.linkFor(ctx, addr, r)
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +114,14 @@
 	return defaultAckTimeout
 }
 
+// linkFor returns the connection for a request.
+func (c *Client) linkFor(ctx context.Context, addr string, r Request) (*link, error) {
+	if r.After != nil {
+		return r.After.link, nil
+	}
+	return c.link(ctx, addr)
+}
+
 // link returns the connection to a peer and dials it if there is none.
 func (c *Client) link(ctx context.Context, addr string) (*link, error) {
 	c.mu.Lock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -291,6 +291,10 @@
 				body, err := io.ReadAll(answer.Body)
 				assert.NilError(t, err)
 				assert.Equal(t, string(body), "body")
+				next, err := client.Call(t.Context(), path.TCPAddr(), Request{After: answer})
+				assert.NilError(t, err)
+				assert.NilError(t, next.Body.Close())
+				assert.Equal(t, client.Links(), 0, "the next request went on another connection")
 				assert.NilError(t, answer.Body.Close())
 			}
 			l := pending.stream.link
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -95,7 +95,7 @@
 		s.fail(ctx.Err())
 		s.link.dropStream(s, true)
 	})
-	return &Answer{Head: s.answer, Body: &answerBody{stream: s, stop: stop}}, nil
+	return &Answer{Head: s.answer, Body: &answerBody{stream: s, stop: stop}, link: s.link}, nil
 }
 
 // awaitHead waits for the head of the answer. Unless ackTimeout is zero, it returns
