mesh: await late answers to messages between nodes

What callers saw: nothing at once. A node to which an acknowledgement takes longer than 250 ms gets no requests for as long as that lasts, which leaves the others with its share; by reading, it is forgotten and its row withdrawn after two minutes.

Cause: probes, entries, configurations and requests to relays were canceled after 250 ms without an acknowledgement. The message arrived, but its answer was dropped, so the probe never found the node reachable, an entry was sent again until its 15 attempts were used up, and a configuration could not be had from that node.

Change: the answer is awaited until the time-out of the message (1 s; 25 s for a relay) or until the connection is lost. Later messages go on another connection, as before. Messages about a new version go to the other nodes at the same time, and the question to another node during an outage of the registry does not hold up the next try, so that a silent node, which takes 1 s now instead of 250 ms, delays nobody. A node that does not answer an entry or a configuration is therefore marked unreachable up to 1.25 s later than before; requests mark it after 250 ms as before.

--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -206,7 +207,7 @@
 func (a *announcer) request(ctx context.Context, to roster.Entry, head []byte) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	answer, err := a.peers.Call(ctx, to.Addr, peer.Request{Head: head, AwaitAck: true})
+	answer, err := a.call(ctx, to.Addr, head)
 	if err != nil {
 		return response{}, err
 	}
@@ -216,6 +217,18 @@
 	return reply, wire.Unmarshal(answer.Head, &reply)
 }
 
+// call sends a message to a peer. A peer that acknowledges it late may only be slow, so
+// its answer is awaited until ctx ends or the connection is lost; later messages go on
+// another connection.
+func (a *announcer) call(ctx context.Context, addr string, head []byte) (*peer.Answer, error) {
+	answer, err := a.peers.Call(ctx, addr, peer.Request{Head: head, AwaitAck: true, KeepOpen: true})
+	var pending *peer.Pending
+	if errors.As(err, &pending) {
+		return pending.Await(ctx)
+	}
+	return answer, err
+}
+
 // confirm records that a peer has a change of the entry; zero means that the peer
 // needs none.
 func (a *announcer) confirm(name string, change uint64) {
--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/wire"
 )
@@ -39,7 +38,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	raw, err := a.fetchRaw(ctx, from, peer.Request{Head: head, AwaitAck: true})
+	raw, err := a.fetchRaw(ctx, from, head)
 	if err != nil {
 		return err
 	}
@@ -51,9 +50,9 @@
 	return nil
 }
 
-// fetchRaw sends a request whose answer is a configuration.
-func (a *announcer) fetchRaw(ctx context.Context, from roster.Entry, r peer.Request) ([]byte, error) {
-	answer, err := a.peers.Call(ctx, from.Addr, r)
+// fetchRaw sends a message whose answer is a configuration.
+func (a *announcer) fetchRaw(ctx context.Context, from roster.Entry, head []byte) ([]byte, error) {
+	answer, err := a.call(ctx, from.Addr, head)
 	if err != nil {
 		if ctx.Err() == nil {
 			a.directory.markUnreachable(from.Node, err, time.Now())
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -312,7 +312,7 @@
 	l := t.Document.Limits
 	n.callers.SetLimits(http1.Limits{Header: l.Header, Body: l.Body, HeadTimeout: l.HeadTimeout, IdleTimeout: l.IdleTimeout})
 	if len(n.relays()) == 0 {
-		go n.spreadVersion()
+		n.spreadVersion()
 	}
 }
 
@@ -337,27 +337,27 @@
 	others := n.directory.others()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, to := range others[:min(len(others), updateFanout)] {
-		reply, err := n.announcer.exchange(n.runCtx, to, n.announcer.entry())
-		if err == nil && reply != nil {
-			n.announcer.receive(n.runCtx, *reply)
-		}
+		go n.compareVersions(n.runCtx, to)
 	}
 }
 
-// askAnyPeer compares versions with a random other node, and fetches a newer
-// configuration from it, while the registry does not answer.
-func (n *Node) askAnyPeer(ctx context.Context) {
-	others := n.directory.others()
-	if len(others) == 0 {
-		return
-	}
-	to := others[rand.IntN(len(others))]
+// compareVersions exchanges entries with another node, so that both get the newer
+// configuration.
+func (n *Node) compareVersions(ctx context.Context, to roster.Entry) {
 	reply, err := n.announcer.exchange(ctx, to, n.announcer.entry())
 	if err == nil && reply != nil {
 		n.announcer.receive(ctx, *reply)
 	}
 }
 
+// askAnyPeer compares versions with a random other node, and fetches a newer
+// configuration from it, while the registry does not answer.
+func (n *Node) askAnyPeer(ctx context.Context) {
+	if others := n.directory.others(); len(others) > 0 {
+		go n.compareVersions(ctx, others[rand.IntN(len(others))])
+	}
+}
+
 func (n *Node) tickLoop() {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/clock"
-	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
@@ -110,7 +109,7 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
-	raw, err := a.fetchRaw(ctx, to, peer.Request{Head: head, AwaitAck: true})
+	raw, err := a.fetchRaw(ctx, to, head)
 	if err != nil {
 		if ctx.Err() == nil {
 			a.directory.avoidRelay(to.Node, time.Now().Add(relayAvoidTime))
