mesh: do not deliver a kept answer that the deadline has cut

What callers saw: a 5xx answer that was kept while another send was open broke off in its body if the deadline passed before the body had arrived, and the connection was closed.

Cause: the end of the request cancels what has not arrived (over 256 KB, or on a slow path), and the answer was started all the same.

Change: at the deadline the kept answer is read into memory, which does not wait any more. If it is complete it is delivered as before, otherwise the caller gets the error of the deadline (504, may have run).

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -256,9 +257,21 @@
 	d.fallback = answer
 }
 
-// finish returns the error of the request as a whole.
+// fallbackArrived reads the fallback into memory and reports whether it is complete. The
+// end of the request cuts off what has not arrived yet.
+func (d *dispatch) fallbackArrived() bool {
+	body := d.fallback.Open()
+	defer body.Close()
+	var err error
+	d.fallback.Buffered, err = io.ReadAll(body)
+	d.fallback.Body = nil
+	return err == nil
+}
+
+// finish returns the answer with an error status that was kept, or the error of the
+// request as a whole.
 func (d *dispatch) finish(ctx context.Context) (*call.Answer, error) {
-	if d.fallback != nil {
+	if d.fallback != nil && (ctx.Err() == nil || d.fallbackArrived()) {
 		return d.fallback, nil
 	}
 	err := d.last
--- a/internal/mesh/open_sends_test.go
+++ b/internal/mesh/open_sends_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +127,35 @@
 	d.observe(ctx, "n1", func(ctx context.Context) sendResult { return callFailed(ctx, "n1", ctx.Err()) })
 	assert.Equal(t, d.directory.loadOf("n1").samples, 0.0)
 }
+
+// Guards against an answer that is cut because it was kept until the deadline.
+func TestFallbackIsNotCut(t *testing.T) {
+	s := &peer.Server{Handler: func(context.Context, peer.Incoming) peer.Reply {
+		head, err := encode(response{Status: 500, Ran: true})
+		assert.Check(t, err)
+		return peer.Reply{Head: head, Payload: make([]byte, 1<<20)}
+	}}
+	assert.NilError(t, s.Listen("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	d := newDispatch(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	large := d.exchange(ctx, roster.Entry{Node: "n1", Addr: s.Addr()}, message{Call: &d.request}, peer.Request{})
+	assert.Assert(t, large.answer != nil)
+	d.open.start(ctx, send{}, func(ctx context.Context) sendResult {
+		<-ctx.Done()
+		return sendResult{err: fault.New(fault.KindDeadline, "open until the deadline")}
+	})
+	_, done := d.evaluate(ctx, sendTo("n1", large))
+	assert.Assert(t, !done)
+	cancel()
+	_, err := d.finish(ctx)
+	assert.Equal(t, fault.As(err).Kind, fault.KindDeadline)
+	assert.Assert(t, fault.As(err).Outcome != fault.Refused)
+
+	d.keepFallback(&call.Answer{Status: 500, Body: io.NopCloser(strings.NewReader("complete"))})
+	answer, err := d.finish(ctx)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(answer.Open())
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "complete")
+}
