--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/wire"
 )
@@ -51,7 +50,7 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
-	answer, err := a.peers.Call(ctx, from.Addr, peer.Request{Head: head, AwaitAck: true})
+	answer, err := a.call(ctx, from.Addr, head)
 	if err != nil {
 		if ctx.Err() == nil {
 			a.directory.markUnreachable(from.Node, err, time.Now())
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -291,6 +291,10 @@
 				body, err := io.ReadAll(answer.Body)
 				assert.NilError(t, err)
 				assert.Equal(t, string(body), "body")
+				next, err := client.Call(t.Context(), path.TCPAddr(), Request{After: answer})
+				assert.NilError(t, err)
+				assert.NilError(t, next.Body.Close())
+				assert.Equal(t, client.Links(), 0, "the next request went on another connection")
 				assert.NilError(t, answer.Body.Close())
 			}
 			l := pending.stream.link
@@ -301,6 +305,16 @@
 	}
 }
 
+// Guards against a connection that stays open because its client was closed during the dial.
+func TestCloseDuringDial(t *testing.T) {
+	near, far := net.Pipe()
+	l := newLink()
+	l.end(ErrConnectionLost)
+	go func() { assert.Check(t, l.start(near, nil) != nil) }()
+	_, err := far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 // Guards against losing answers that have arrived because this process stood still: the
 // silence of the connection is then its own.
 func TestStalledProcessKeepsItsConnections(t *testing.T) {
