--- a/internal/gossip/sweeper_test.go
+++ b/internal/gossip/sweeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 	"time"
 
@@ -130,3 +131,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Table.Counts().Operations["list"], 0)
 }
+
+// malformedRow is a table with one row whose length field states a long name.
+type malformedRow struct{}
+
+func (malformedRow) List(context.Context, string) ([]table.Row, error) {
+	return []table.Row{{Key: "member/x", Tag: "1", Value: []byte("\x81\xa1d\xdb\xff\xff\xff\xff")}}, nil
+}
+
+func (malformedRow) Delete(context.Context, string, string) error { return nil }
+
+// Guards against a buffer that grows with each sweep that reads a malformed row.
+func TestMalformedRowsDoNotGrowTheBuffer(t *testing.T) {
+	n := &gossip.Node{Protocol: &member.Protocol{Self: member.Member{Ref: member.Ref{ID: "oldest", Incarnation: 1}}}}
+	sweeper := gossip.Sweeper{Rows: malformedRow{}, Node: n}
+	now := time.Unix(1, 0)
+	n.Protocol.AddMembers(now, nil)
+	for range 40 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := sweeper.Sweep(t.Context(), now)
+		runtime.ReadMemStats(&after)
+		assert.NilError(t, err)
+		bytes := after.TotalAlloc - before.TotalAlloc
+		assert.Assert(t, bytes < 4<<20, "%d bytes", bytes)
+		now = now.Add(gossip.SweepEvery)
+	}
+}
