mesh: report a crash before the failure of its requests

Cause: serve answered the sender while connectionBroken confirmed the crash in its own goroutine, and the incident went to the other nodes without awaiting them. The next copy of the request could begin on another server before its node knew the incident.

Change: the failure waits until the other nodes of the service have replied to the incident, for 100 ms at most or until the caller leaves. Requests that were in flight at the same crash wait for the same report. Only requests whose connection broke wait. The server counts as down in the load that goes with the failure.

--- a/internal/mesh/crash_detector.go
+++ b/internal/mesh/crash_detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/backend"
@@ -16,8 +17,14 @@
 type crashDetector struct {
 	*Options
 	table quarantine.Table
-	// notify sends an incident to the other nodes of the service.
+	// notify sends an incident to the other nodes of the service. It returns when all of
+	// them have it or cannot be reached.
 	notify func(i quarantine.Incident)
+
+	mu sync.Mutex
+	// reported is closed when notify has returned for the newest crash; nil before the
+	// first.
+	reported chan struct{}
 }
 
 // check refuses a quarantined request before it waits for a slot.
@@ -63,22 +70,31 @@
 	c.table.End(start, answered, time.Now())
 }
 
-// failed ends a request whose connection broke, and reports whether the server
-// crashed while it ran the request.
-func (c *crashDetector) failed(r call.Request, start quarantine.Start) (crashed bool) {
+// failed ends a request whose connection broke. If the server crashed while it ran the
+// request, failed returns a channel that is closed when the other nodes know of the
+// crash, otherwise nil.
+func (c *crashDetector) failed(r call.Request, start quarantine.Start) (reported <-chan struct{}) {
 	defer c.end(start, false)
 	if !backend.RefusesConnections(context.Background(), c.Server) {
-		return false
+		return nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	incident, first := c.table.Crash(r.Target, start, time.Now())
-	if first {
-		c.Log.WithField("server", r.Target).WithField("id", r.ID).WithField("suspects", len(incident.Fingerprints)).
-			Warn("backend server crashed")
+	if !first {
+		return c.reported // by another request that was in flight
 	}
-	if first && len(incident.Fingerprints) > 0 {
-		c.notify(incident)
-	}
-	return true
+	c.Log.WithField("server", r.Target).WithField("id", r.ID).WithField("suspects", len(incident.Fingerprints)).
+		Warn("backend server crashed")
+	done := make(chan struct{})
+	c.reported = done
+	go func() {
+		defer close(done)
+		if len(incident.Fingerprints) > 0 {
+			c.notify(incident)
+		}
+	}()
+	return done
 }
 
 // receive merges an incident that another node reported.
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -281,23 +282,25 @@
 }
 
 // notifyCrash sends an incident to the nodes that may get the requests in flight
-// next.
+// next, and waits for their replies.
 func (n *Node) notifyCrash(i quarantine.Incident) {
 	head, err := encode(message{Crash: &i})
 	if err != nil {
 		n.Log.WithError(err).Error("cannot encode the incident")
 		return
 	}
+	var wg sync.WaitGroup
 	for _, to := range n.directory.others() {
 		if to.Service != n.Service {
 			continue
 		}
-		go func() {
+		wg.Go(func() {
 			if _, err := n.announcer.request(n.runCtx, to, head); err != nil {
 				n.Log.WithError(err).WithField("node", to.Node).Info("cannot notify node of a crash")
 			}
-		}()
+		})
 	}
+	wg.Wait()
 }
 
 // onApplied is called when a new configuration is in force.
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -106,7 +106,7 @@
 	callFailed := p.runs.Remove(r.ID)
 	p.leave(run, answer, failure, callFailed)
 	if failure != nil && (failure.Kind == fault.KindServerLost || failure.Kind == fault.KindCutShort) {
-		go p.connectionBroken(r, start)
+		p.connectionBroken(ctx, r, start)
 	} else {
 		p.crash.end(start, failure == nil && answer.Outcome != fault.Refused)
 	}
@@ -122,14 +122,30 @@
 	return sendResult{answer: answer, load: answer.Load, ran: true, callFailed: callFailed}
 }
 
+// maxCrashWait bounds how long a failure is withheld while the other nodes are notified
+// of a crash. It covers a round trip between regions.
+const maxCrashWait = 100 * time.Millisecond
+
 // connectionBroken checks whether the server has crashed, after the connection of a
-// request broke.
-func (p *serverProxy) connectionBroken(r call.Request, start quarantine.Start) {
+// request broke. It returns when the other nodes know of the crash, so that none of them
+// runs the request before, but no later than after maxCrashWait.
+func (p *serverProxy) connectionBroken(ctx context.Context, r call.Request, start quarantine.Start) {
+	ctx, cancel := context.WithTimeout(ctx, maxCrashWait)
+	defer cancel()
 	p.mu.Lock()
 	r.Target = p.server.ID
 	p.mu.Unlock()
-	if p.crash.failed(r, start) {
-		p.markDown()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if reported := p.crash.failed(r, start); reported != nil {
+			p.markDown()
+			<-reported
+		}
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
 	}
 }
 
