gossip: promise another write of the member row only where there is one

No refresh follows a Leave.

Cause: the text stood in writeRow, which Leave shares with Join and Refresh.

Change: Join and Refresh add it; Leave says how long the old row may be used.

--- a/internal/gossip/announcer.go
+++ b/internal/gossip/announcer.go
@@ -65,7 +65,7 @@
 		return err
 	}
 	if err := a.writeRow(ctx, now); err != nil {
-		return err
+		return eris.Wrap(err, writtenAgain)
 	}
 	if err := a.readRows(ctx, now); err != nil {
 		return err
@@ -95,14 +95,16 @@
 	if !a.joined.Load() {
 		return a.Join(ctx, now)
 	}
-	return a.writeRow(ctx, now)
+	return eris.Wrap(a.writeRow(ctx, now), writtenAgain)
 }
 
+const writtenAgain = "the member row is written again in 10 s"
+
 // Leave writes the local row with the state leaving. Call it after Node.Leave and
 // after the last Refresh has returned, which could otherwise overwrite the row with
-// an older one.
+// an older one. After an error the row is not written again.
 func (a *Announcer) Leave(ctx context.Context, now time.Time) error {
-	return a.writeRow(ctx, now)
+	return eris.Wrap(a.writeRow(ctx, now), "members that start may take this one for alive until its row is 11 min old")
 }
 
 func (a *Announcer) writeRow(ctx context.Context, now time.Time) error {
@@ -112,7 +114,7 @@
 		return eris.Wrap(err, "encode member row")
 	}
 	if err := a.Rows.Put(ctx, RowPrefix+own.ID, value); err != nil {
-		return eris.Wrap(err, "write member row; it is written again in 10 s")
+		return eris.Wrap(err, "write member row")
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,6 +99,28 @@
 	})
 }
 
+// Guards against a failed Leave that promises a write that nobody does.
+func TestOnlyRefreshPromisesAnotherWrite(t *testing.T) {
+	n := &gossip.Node{Protocol: &member.Protocol{Self: member.Member{Ref: member.Ref{ID: "n", Incarnation: 1}}}}
+	for name, c := range map[string]struct {
+		write    func(a *gossip.Announcer, ctx context.Context, now time.Time) error
+		promised bool
+	}{
+		"join": {(*gossip.Announcer).Join, true}, "refresh": {(*gossip.Announcer).Refresh, true}, "leave": {(*gossip.Announcer).Leave, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := c.write(&gossip.Announcer{Rows: &failingRows{}, Node: n}, t.Context(), time.Now())
+			assert.ErrorIs(t, err, errDown)
+			assert.Equal(t, strings.Contains(err.Error(), "written again"), c.promised, "%v", err)
+		})
+	}
+}
+
+// failingRows is a table that fails all writes.
+type failingRows struct{ rows }
+
+func (*failingRows) Put(context.Context, string, []byte) error { return errDown }
+
 // Guards against a member that died long ago and receives requests because of its row.
 func TestStaleRowAddsNoMember(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
