budget: keep the counters of evicted keys in Total

Prometheus takes a smaller value for a restart and counts the whole value again.

Cause: Total summed only the keys in use; the counters of evicted keys went to one sum for servers and links.

Change: one sum for each, which Total includes. The series of a single link goes away with its key and starts at zero again, which Prometheus reads correctly; it stays.

Result: TestCounterOfAllServersDoesNotFall showed 0 instead of 100 before, passes now; go test -race of pkg/budget and internal/metrics passes.

--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -108,6 +108,24 @@
 	}
 }
 
+// Guards against a counter of all servers that falls when an idle server is evicted, which
+// Prometheus takes for a restart.
+func TestCounterOfAllServersDoesNotFall(t *testing.T) {
+	var r Registry
+	var limits budget.Limiter
+	now := time.Now()
+	limits.Allow(budget.Control, 100, now, budget.Server("a"), budget.Link("poa", "cwb"))
+	for end := now.Add(time.Hour); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		limits.Tick(now)
+	}
+	assert.Equal(t, len(limits.Keys(nil)), 0)
+	_, text := scrape(&r, &limits)
+	want := `vanillasail_measuring_bytes_total{class="control",from="",to="servers",verdict="spent"} 100`
+	assert.Assert(t, strings.Contains(text, want), text)
+	spent, _ := limits.Total(true).Total()
+	assert.Equal(t, spent.Bytes, uint64(100))
+}
+
 // Guards against counts that are lost if requests end while an interval is flushed or
 // a scrape runs.
 func TestConcurrentRequestsAreAllCounted(t *testing.T) {
--- a/pkg/budget/limiter.go
+++ b/pkg/budget/limiter.go
@@ -38,8 +38,10 @@
 	overrides map[Key]Rate
 	servers   *Rate
 	links     *Rate
-	evicted   Counters
-	lastPrune time.Duration
+	// evictedServers and evictedLinks hold the sums of the counters of evicted keys and of
+	// keys beyond maxKeys, so that Total never falls.
+	evictedServers, evictedLinks Counters
+	lastPrune                    time.Duration
 }
 
 type bucket struct {
@@ -93,7 +95,7 @@
 	b := l.buckets[k]
 	switch {
 	case b == nil:
-		l.evicted.Denied[c].add(size)
+		l.evicted(k).Denied[c].add(size)
 	case !ok:
 		b.counters.Denied[c].add(size)
 	default:
@@ -124,7 +126,7 @@
 	l.lastPrune = elapsed
 	for k, b := range l.buckets {
 		if elapsed-b.lastUsed > idleTimeout {
-			l.evicted.merge(b.counters)
+			l.evicted(k).merge(b.counters)
 			delete(l.buckets, k)
 		}
 	}
@@ -177,14 +179,17 @@
 func (l *Limiter) Evicted() Counters {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.evicted
+	total := l.evictedServers
+	total.merge(l.evictedLinks)
+	return total
 }
 
-// Total returns the sum of the counters of all links or of all servers in use.
+// Total returns the sum of the counters of all links or of all servers since the start,
+// including those of evicted keys.
 func (l *Limiter) Total(links bool) Counters {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var total Counters
+	total := *l.evicted(Key{link: links})
 	for k, b := range l.buckets {
 		if k.link == links {
 			total.merge(b.counters)
@@ -203,6 +208,14 @@
 	return buf
 }
 
+// evicted returns the sum to which the counters of an evicted key are added.
+func (l *Limiter) evicted(k Key) *Counters {
+	if k.link {
+		return &l.evictedLinks
+	}
+	return &l.evictedServers
+}
+
 func (l *Limiter) bucket(k Key) *bucket {
 	if b := l.buckets[k]; b != nil {
 		return b
