owner: recognize a repeated reset of a shard

Cause: the ID of the change only went to the log. The second reset excludes the new pair and so makes another one without its records.

Change: the shard stores a hash of the ID of its latest reset. A node whose cached map is out of date gets a conflict; it decides again on the row that it has read since.

A repeat of a reset that another one has followed isn't recognised; only the latest is stored.

--- a/internal/daemon/shards.go
+++ b/internal/daemon/shards.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/node"
 	"github.com/vanillasail/vanillasail/internal/operator"
@@ -169,5 +171,5 @@
 func (v shardView) Reset(ctx context.Context, service string, index int, o operator.AuditInfo) error {
 	v.Log.WithField("service", service).WithField("shard", index).WithField("by", o.Author).
 		WithField("reason", o.Reason).Warn("shard reset")
-	return v.shards.Reset(ctx, service, index)
+	return v.shards.Reset(ctx, service, index, xxhash.Sum64String(o.ID))
 }
--- a/internal/owner/controller_test.go
+++ b/internal/owner/controller_test.go
@@ -199,7 +199,7 @@
 			third.expect(t, tc.tableOutage, request(fresh))
 			c.table.set(false, true)
 			if tc.reset {
-				assert.NilError(t, third.Reset(t.Context(), "orders", s.Index))
+				assert.NilError(t, third.Reset(t.Context(), "orders", s.Index, 1))
 			}
 			// Run three repair rounds on all nodes, as their ticks do.
 			for range 3 {
@@ -218,6 +218,33 @@
 	}
 }
 
+// TestRepeatedReset guards against a reset that is made twice because its reply was lost
+// and the operator's client repeated it on another node. The second one would discard the
+// records of the new pair.
+func TestRepeatedReset(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1", "d1", "e1", "f1")
+	c.nodes["a1"].expect(t, "", request("k"))
+	s, _, _, _ := c.pair(t, "k")
+	for _, n := range c.nodes {
+		_, err := n.load(t.Context(), "orders", time.Time{})
+		assert.NilError(t, err)
+	}
+	epoch := s.Epoch
+	for _, step := range []struct {
+		node   string
+		id     uint64
+		change bool
+	}{{"a1", 7, true}, {"b1", 7, false}, {"a1", 7, false}, {"b1", 8, true}, {"c1", 8, false}} {
+		assert.NilError(t, c.nodes[step.node].Reset(t.Context(), "orders", s.Index, step.id))
+		c.waitIdle()
+		m, err := c.nodes["f1"].load(t.Context(), "orders", time.Now())
+		assert.NilError(t, err)
+		got := m.Shards[s.Index]
+		assert.Equal(t, got.LossEpoch > epoch, step.change, "%+v: %+v", step, got)
+		epoch = got.Epoch
+	}
+}
+
 // otherKeyOf returns a new key of the shard.
 func otherKeyOf(s once.Shard) string {
 	for i := 0; ; i++ {
--- a/internal/owner/repair.go
+++ b/internal/owner/repair.go
@@ -141,18 +141,26 @@
 // Reset assigns a new pair without records to a shard. An operator must have
 // confirmed that both processes of the old pair have ended. The outcome of every
 // key of the shard is unknown until the records of the old pair would have expired,
-// a minute after once.Window.
-func (c *Controller) Reset(ctx context.Context, service string, index int) error {
+// a minute after once.Window. Repeating the latest reset of a shard, by its id on any
+// node, has no effect; the id must not be zero.
+func (c *Controller) Reset(ctx context.Context, service string, index int, id uint64) error {
 	if index < 0 || index >= once.Shards {
 		return fault.New(fault.KindBadRequest, "shard %d does not exist; shards are 0 to %d", index, once.Shards-1)
 	}
-	old, changed, err := c.write(ctx, service, func(m once.Map) []once.Shard {
-		if next, ok := m.Reset(index, c.Members); ok {
-			return []once.Shard{next}
+	repeated := false
+	reset := func(m once.Map) []once.Shard {
+		next, ok := m.Reset(index, c.Members)
+		if repeated = m.Shards[index].ResetID == id; repeated || !ok {
+			return nil
 		}
-		return nil
-	})
-	if err != nil {
+		return []once.Shard{next.WithResetID(id)}
+	}
+	old, changed, err := c.write(ctx, service, reset)
+	if fault.Is(err, fault.KindConflict) {
+		// The cached map was out of date; write has read the row since.
+		old, changed, err = c.write(ctx, service, reset)
+	}
+	if err != nil || repeated {
 		return err
 	}
 	if len(changed) == 0 {
--- a/pkg/once/shard.go
+++ b/pkg/once/shard.go
@@ -16,6 +16,9 @@
 	// LossEpoch is the latest epoch that started without the records of its
 	// predecessor, or zero if there is none.
 	LossEpoch uint64 `msgpack:"l,omitempty"`
+	// ResetID identifies the latest reset by an operator, so that a repeated one is
+	// recognized. It is zero if there was none.
+	ResetID uint64 `msgpack:"r,omitempty"`
 }
 
 // Has reports whether r is the owner or the backup.
@@ -44,6 +47,12 @@
 	return s
 }
 
+// WithResetID returns a copy of a shard that an operator has reset.
+func (s Shard) WithResetID(id uint64) Shard {
+	s.ResetID = id
+	return s
+}
+
 func (s Shard) id() shardID { return shardID{s.Service, s.Index} }
 
 type shardID struct {
