--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
 
 	"github.com/vanillasail/vanillasail/internal/node"
 )
@@ -27,7 +28,7 @@
 
 // Usage implements subcommands.Command.
 func (*keysCommand) Usage() string {
-	return "vanillasail keys [-dir DIR] [-validity DURATION] NODE...\n\nWrites ca.pem and, for each node, NODE.pem and NODE.key. The authority's key is\nnot kept: run the command again and list both authorities in tls.ca to rotate.\n\nExample: vanillasail keys -dir keys n1 n2 n3\n"
+	return "vanillasail keys [-dir DIR] [-validity DURATION] NODE...\n\nWrites ca.pem and, for each node, NODE.pem and NODE.key. The directory is created if it\ndoes not exist. The authority's key is not kept: run the command again and list\nboth authorities in tls.ca to rotate.\n\nExample: vanillasail keys -dir keys n1 n2 n3\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -52,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if err := os.MkdirAll(filepath.Clean(c.dir), 0o755); err != nil {
+		return eris.Wrap(err, "create the directory; choose another one with -dir")
+	}
 	if err := c.writeFile("ca.pem", authority.CertPEM, 0o644); err != nil {
 		return err
 	}
@@ -73,7 +77,7 @@
 func (c *keysCommand) writeFile(name string, content []byte, mode os.FileMode) error {
 	path := filepath.Join(c.dir, name)
 	if err := os.WriteFile(path, content, mode); err != nil {
-		return err
+		return eris.Wrap(err, "write the file; choose another directory with -dir")
 	}
 	fmt.Println(path)
 	return nil
