relay: close silent pipes

Cause: when one end of a silent pipe closed, the relay forgot the pipe but left the connection to the other end open, so that neither Close nor SetMode(Cut) reached it.

Change: the pipe is forgotten and closed when both ends have closed, or by Close or Cut.

--- a/internal/standin/relay/tcp.go
+++ b/internal/standin/relay/tcp.go
@@ -13,6 +13,8 @@
 type pipe struct {
 	downstream, upstream net.Conn
 	silent               atomic.Bool
+	// ended counts the directions in which nothing is forwarded any more.
+	ended atomic.Int32
 }
 
 func (p *pipe) close() {
@@ -45,16 +47,17 @@
 	}
 }
 
-// copy forwards data until one of the connections is closed, and then closes both,
-// except for a silent pipe.
+// copy forwards data until one of the connections is closed, and then closes both. A
+// silent pipe is closed with its second connection, or by SetMode or Close.
 func (r *Relay) copy(p *pipe, from, to net.Conn, forward bool) {
 	defer func() {
+		if p.ended.Add(1) < 2 && p.silent.Load() {
+			return
+		}
 		r.mu.Lock()
 		delete(r.pipes, p)
 		r.mu.Unlock()
-		if !p.silent.Load() {
-			p.close()
-		}
+		p.close()
 	}()
 	buf := make([]byte, bufferSize)
 	for {
