daemon: show the servers of paused nodes as dead

Cause: routing takes each server as draining whose member accepts no requests, and that came before the state of the member.

Change: dead and unreachable come first.

Result: TestPausedServerIsNotShownAsDraining failed in three cases with the old order, passes now; go test -race ./internal/daemon passes.

--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -11,6 +11,9 @@
 	"github.com/vanillasail/vanillasail/internal/operator"
 	"github.com/vanillasail/vanillasail/internal/store"
 	"github.com/vanillasail/vanillasail/pkg/config"
+	"github.com/vanillasail/vanillasail/pkg/member"
+	"github.com/vanillasail/vanillasail/pkg/outlier"
+	"github.com/vanillasail/vanillasail/pkg/routing"
 )
 
 // maxCommand bounds the body of an operator's request.
@@ -79,14 +82,8 @@
 	for _, service := range v.routes.Services() {
 		for _, s := range v.routes.Snapshot(service) {
 			m, _ := v.members.protocol.Table().Get(s.ID)
-			state := m.State.String()
-			if s.Draining {
-				state = "draining"
-			} else if s.State != "" && s.State != "serving" {
-				state = s.State
-			}
 			all = append(all, operator.Server{
-				ID: s.ID, Service: service, Region: s.Region, Domain: s.Domain, Addr: m.Addr, State: state,
+				ID: s.ID, Service: service, Region: s.Region, Domain: s.Domain, Addr: m.Addr, State: serverState(m, s),
 				Slots: s.Slots, InFlight: s.Own, Queued: max(0, int(s.Load)-s.Slots),
 				Latency: s.Latency, Age: s.Age, Config: config.Version(m.Config),
 			})
@@ -94,3 +91,17 @@
 	}
 	return all
 }
+
+// serverState returns the state of a server for operators. Routing takes each server as
+// draining whose member accepts no requests, also one that is dead or unreachable.
+func serverState(m member.Member, s routing.ServerState) string {
+	switch {
+	case m.State == member.StateDead || m.State == member.StateUnreachable:
+		return m.State.String()
+	case s.Draining:
+		return stateDraining
+	case s.State != "" && s.State != outlier.Serving.String():
+		return s.State
+	}
+	return m.State.String()
+}
