--- a/internal/mesh/open_sends_test.go
+++ b/internal/mesh/open_sends_test.go
@@ -159,3 +159,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "complete")
 }
+
+// Guards against nodes that count as unreachable because a request has a header that is
+// larger than the limit between nodes.
+func TestLargeHeaderDoesNotExcludeANode(t *testing.T) {
+	d := newDispatch(t)
+	r := d.request
+	r.URI, r.Timeout = strings.Repeat("x", 1<<20), time.Minute
+	to, ok := d.directory.entry("n1")
+	assert.Assert(t, ok)
+	for range 5 {
+		result := d.exchange(t.Context(), to, message{Call: &r}, peer.Request{})
+		assert.Equal(t, result.err.Kind, fault.KindHeaderTooLarge)
+		assert.Assert(t, !result.ran && result.err.Outcome == fault.Refused)
+	}
+	assert.Equal(t, len(d.directory.down), 0)
+}
