backend: limit the time of an answer's parts outside its body

A server that sent a header, an interim answer, a chunk extension, the digits of a chunk's size, a trailer or an answer to another request byte by byte held its caller up to the deadline, and a probe up to its time-out. The caller then got 504 for a server that had answered with bytes that are no answer. Only bytes were limited, not time.

Package tcp gives each part of a message a time limit, one second from its first byte to its end. There is none before the first byte, after a whole interim answer or between the bytes of a body, where a server may be working or the path slow. An answer that is cut off is of kind cut-short with outcome unknown, so the existing rules on sending again and on the server's standing apply, and the connection is closed. Bytes that arrived while the node was stalled are still read.

TestEndlessAnswersAreBounded replaces TestClientBoundsEndlessAnswers: the same kinds with the same bound on bytes and a shorter time, and further kinds, for the client, the pool and probes, fast and byte by byte.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/tcp"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
@@ -38,6 +39,8 @@
 type Client struct {
 	transport atomic.Pointer[http.Transport]
 	sent      sentIDs
+	// partTimeout is the time limit of each part of an answer; zero means the default.
+	partTimeout time.Duration
 }
 
 func (c *Client) roundTripper() *http.Transport {
@@ -49,7 +52,13 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 	}
 	t := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &tcp.Conn{Conn: conn, Timeout: c.partTimeout}, nil
+		},
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
@@ -66,10 +75,8 @@
 // Do sends the request to the server at addr (IP:port). An error with the outcome
 // refused means that no byte was sent to the server.
 func (c *Client) Do(ctx context.Context, addr string, r call.Request) (*call.Answer, error) {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
+	var used usedConn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.set, Got1xxResponse: used.interim})
 	request, err := newRequest(ctx, addr, r)
 	if err != nil {
 		return nil, fault.New(fault.KindBadRequest, "request target %q: %v", r.URI, err)
@@ -77,8 +84,10 @@
 	c.sent.add(r.ID)
 	response, err := c.roundTripper().RoundTrip(request)
 	if err != nil {
-		return nil, classify(ctx, err, sent.Load())
+		return nil, classify(ctx, err, used.conn.Load() != nil)
 	}
+	response.Body = &pacedBody{ReadCloser: response.Body, conn: used.conn.Load()}
+	used.conn.Load().Next()
 	// A server may return the ID of an inner request, but not that of another request
 	// which was sent to it: that is a second copy of an earlier answer.
 	if id := response.Header.Get(call.HeaderID); id != "" && id != r.ID && c.sent.contains(id) {
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -11,43 +11,208 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
+const (
+	// endlessSent is what fits into the limits of an answer and the socket buffers.
+	endlessSent = 1 << 20
+	// testPartTimeout is shorter than the pauses of the slow servers of these tests are
+	// together.
+	testPartTimeout = 50 * time.Millisecond
+	dripInterval    = 5 * time.Millisecond
+)
+
+// endlessServer answers the first request with bytes without end.
+type endlessServer struct {
+	// first is sent at once, text again and again.
+	first, text string
+	// drip makes the server send text byte by byte.
+	drip bool
+
+	sent atomic.Int64
+	// closed is closed when the caller has closed the connection.
+	closed chan struct{}
+}
+
+func (s *endlessServer) start(t *testing.T) (addr string) {
+	s.closed = make(chan struct{})
+	return startRawServer(t, func(c net.Conn) {
+		_ = c.(*net.TCPConn).SetWriteBuffer(16 << 10)
+		defer close(s.closed)
+		_, err := io.WriteString(c, s.first)
+		text := strings.Repeat(s.text, max(4096/len(s.text), 1))
+		for i := 0; err == nil; i++ {
+			part := text
+			if s.drip {
+				part = text[i%len(text):][:1]
+				time.Sleep(dripInterval)
+			}
+			_, err = io.WriteString(c, part)
+			s.sent.Add(int64(len(part)))
+		}
+	})
+}
+
+// endlessDoors are the ways to read an answer to its end.
+var endlessDoors = map[string]func(ctx context.Context, addr string) error{
+	"client": func(ctx context.Context, addr string) error {
+		c := Client{partTimeout: testPartTimeout}
+		defer c.CloseIdle()
+		answer, err := c.Do(ctx, addr, request(http.MethodPost))
+		if err == nil {
+			_, err = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+		}
+		return err
+	},
+	"pool": func(ctx context.Context, addr string) error {
+		p := Pool{HeaderNames: testHeaderNames, partTimeout: testPartTimeout}
+		defer p.Close()
+		_, err := p.Do(ctx, addr, request(http.MethodPost))
+		return err
+	},
+	"probe": func(ctx context.Context, addr string) error {
+		p := Pool{HeaderNames: testHeaderNames, partTimeout: testPartTimeout}
+		defer p.Close()
+		_, _, healthy, err := p.Probe(ctx, addr, "/health")
+		if err == nil && !healthy {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	},
+}
+
 // Guards against a server that sends bytes without end which are no answer: the node
-// would read megabytes, hold the caller up or close its connection without an answer.
-func TestClientBoundsEndlessAnswers(t *testing.T) {
-	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	// maxSent is what fits into the limits and the socket buffers.
-	const maxSent = 1 << 20
-	for name, text := range map[string][2]string{
-		"status line":      {"HTTP/1.1 200 ", "x"},
-		"header line":      {"HTTP/1.1 200 OK\r\nX: ", "x"},
-		"header lines":     {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
-		"interim answers":  {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
-		"chunk extension":  {chunked + "1;", "x"},
-		"digits of a size": {chunked, "0"},
-		"trailer line":     {chunked + "0\r\nX: ", "x"},
-		"trailer lines":    {chunked + "0\r\n", "X: x\r\n"},
+// would read megabytes, hold the caller up to its deadline, keep the connection or state
+// that the request had not run.
+func TestEndlessAnswersAreBounded(t *testing.T) {
+	const (
+		sealed  = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n"
+		skipped = "HTTP/1.1 200 OK\r\nId: 2\r\nSeal: s\r\n"
+		early   = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+		chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	for name, c := range map[string]struct {
+		first, text string
+		// doors are the doors at which the bytes are no answer.
+		doors string
+	}{
+		"status line":           {"HTTP/1.1 200 ", "x", "client pool probe"},
+		"header line":           {sealed + "X: ", "x", "client pool probe"},
+		"header lines":          {sealed, "X: x\r\n", "client pool probe"},
+		"interim answers":       {"", early, "client pool probe"},
+		"interim header line":   {"HTTP/1.1 103 Early Hints\r\nLink: ", "x", "client pool probe"},
+		"line behind interim":   {early + sealed + "X: ", "x", "client pool probe"},
+		"chunk extension":       {sealed + chunked + "1;", "x", "client pool probe"},
+		"digits of a size":      {sealed + chunked, "0", "client pool probe"},
+		"trailer line":          {sealed + chunked + "0\r\nX: ", "x", "client pool probe"},
+		"trailer lines":         {sealed + chunked + "0\r\n", "X: x\r\n", "client pool probe"},
+		"trailer behind a body": {sealed + chunked + "1\r\nx\r\n0\r\n", "X: x\r\n", "client pool probe"},
+		"body of a probe":       {sealed + "\r\n", "x", "probe"},
+		"unsealed body":         {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x", "pool"},
+		"skipped header line":   {skipped + "X: ", "x", "pool"},
+		"skipped body":          {skipped + "\r\n", "x", "pool"},
+		"skipped long body":     {skipped + "Content-Length: 1000000000\r\n\r\n", "x", "pool"},
+		"skipped chunks":        {skipped + chunked, "1\r\nx\r\n", "pool"},
+		"skipped extension":     {skipped + chunked + "1;", "x", "pool"},
+		"line behind skipped":   {skipped + "Content-Length: 0\r\n\r\n" + sealed + "X: ", "x", "pool"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			var sent atomic.Int64
-			addr := startRawServer(t, func(c net.Conn) {
-				_ = c.(*net.TCPConn).SetWriteBuffer(16 << 10)
-				_, err := io.WriteString(c, text[0])
-				for part := strings.Repeat(text[1], 4096/len(text[1])); err == nil; sent.Add(int64(len(part))) {
-					_, err = io.WriteString(c, part)
-				}
+		for door := range strings.FieldsSeq(c.doors) {
+			for speed, drip := range map[string]bool{"fast": false, "drip": true} {
+				t.Run(name+"/"+door+"/"+speed, func(t *testing.T) {
+					t.Parallel()
+					server := endlessServer{first: c.first, text: c.text, drip: drip}
+					ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+					defer cancel()
+					err := endlessDoors[door](ctx, server.start(t))
+					assert.NilError(t, ctx.Err())
+					assert.Assert(t, err != nil)
+					if door != "probe" {
+						assert.Assert(t, fault.Is(err, fault.KindCutShort) || fault.Is(err, fault.KindServerLost), "%v", err)
+						assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
+					}
+					<-server.closed
+					assert.Assert(t, server.sent.Load() < endlessSent, "%d bytes were sent", server.sent.Load())
+				})
+			}
+		}
+	}
+}
+
+// Guards against a time limit that ends answers of servers that work for long, send
+// interim answers meanwhile or send a body slowly.
+func TestSlowAnswersAreDelivered(t *testing.T) {
+	const (
+		early  = "HTTP/1.1 103 Early Hints\r\n\r\n"
+		head   = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n"
+		length = head + "Content-Length: 8\r\n\r\n"
+	)
+	body := strings.Split("abcdefgh", "")
+	for name, c := range map[string]struct {
+		parts []string
+		doors string
+	}{
+		"before the head":       {[]string{"", length + "abcdefgh"}, "client pool probe"},
+		"after interim answers": {[]string{early, early, length + "abcdefgh"}, "client pool"},
+		"between bytes":         {append([]string{length}, body...), "client pool"},
+		"between chunks":        {[]string{head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n", "7\r\nbcdefgh\r\n", "0\r\n\r\n"}, "client pool"},
+		"until the close":       {append([]string{head + "\r\n"}, body...), "client pool"},
+	} {
+		for door := range strings.FieldsSeq(c.doors) {
+			t.Run(name+"/"+door, func(t *testing.T) {
+				t.Parallel()
+				parts := c.parts
+				addr := startRawServer(t, func(c net.Conn) {
+					for _, part := range parts {
+						_, _ = io.WriteString(c, part)
+						time.Sleep(2 * testPartTimeout)
+					}
+				})
+				assert.NilError(t, endlessDoors[door](t.Context(), addr))
 			})
-			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
-			defer cancel()
+		}
+	}
+}
+
+// Guards against bytes behind a whole answer that stay unread on a connection in use, or
+// belong to the next answer.
+func TestExcessBytesEndTheConnection(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 1\r\n\r\na"
+	for speed, drip := range map[string]bool{"fast": false, "drip": true} {
+		t.Run("client/"+speed, func(t *testing.T) {
+			server := endlessServer{first: answer, text: "x", drip: drip}
 			var c Client
-			_, err := c.Do(ctx, addr, request(http.MethodPost))
-			assert.NilError(t, ctx.Err())
-			assert.Assert(t, fault.Is(err, fault.KindCutShort) || fault.Is(err, fault.KindServerLost), "%v", err)
-			assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
-			assert.Assert(t, sent.Load() < maxSent, "%d bytes were sent", sent.Load())
+			got, err := c.Do(t.Context(), server.start(t), request(http.MethodPost))
+			assert.NilError(t, err)
+			body, err := io.ReadAll(got.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "a")
+			<-server.closed
+			assert.Assert(t, server.sent.Load() < endlessSent)
+		})
+		t.Run("pool/"+speed, func(t *testing.T) {
+			server := endlessServer{first: answer, text: "x", drip: drip}
+			p := Pool{HeaderNames: testHeaderNames}
+			defer p.Close()
+			addr := server.start(t)
+			got, err := p.Do(t.Context(), addr, request(http.MethodPost))
+			assert.NilError(t, err)
+			assert.Equal(t, string(got.Buffered), "a")
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				select {
+				case <-server.closed:
+					return poll.Success()
+				default:
+				}
+				next, err := p.conn(t.Context(), addr, true)
+				assert.NilError(t, err)
+				p.put(next)
+				return poll.Continue("the connection is open")
+			}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+			assert.Assert(t, server.sent.Load() < endlessSent)
 		})
 	}
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -1,16 +1,13 @@
 package backend
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,6 +28,8 @@
 	idle []*serverConn
 	// closed is set by Close; connections are no longer kept after their answer.
 	closed bool
+	// partTimeout is the time limit of each part of an answer; zero means the default.
+	partTimeout time.Duration
 }
 
 const (
@@ -59,20 +58,6 @@
 	maxSkippedBody = 64 << 10
 )
 
-// serverConn is one connection to the server.
-type serverConn struct {
-	net.Conn
-	reader *bufio.Reader
-	// headerLeft is the number of bytes that may still be read for a header. A
-	// negative value means no limit.
-	headerLeft int
-	// expires is the time after which the connection must not be reused.
-	expires   time.Time
-	idleSince time.Time
-	// mustClose is set if the connection must be closed after the answer.
-	mustClose bool
-}
-
 // Do sends the request once to the server at addr. An error with the outcome
 // refused means that the server did not run it and will not run it.
 func (p *Pool) Do(ctx context.Context, addr string, r call.Request) (*call.Answer, error) {
@@ -162,7 +147,7 @@
 	}
 	go func() {
 		buffers := net.Buffers{head, r.Body}
-		_, err := buffers.WriteTo(c.Conn)
+		_, err := buffers.WriteTo(c.Conn.Conn) // net.TCPConn writes both at once
 		written <- err
 	}()
 	return written
@@ -173,16 +158,16 @@
 func (p *Pool) read(c *serverConn, r call.Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxSkipped {
-		c.headerLeft = maxHeader
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, err
 		}
-		c.headerLeft = -1
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		if p.HeaderNames.ID == "" || response.Header.Get(p.HeaderNames.ID) == r.ID {
+			c.Next()
+			response.Body = &pacedBody{ReadCloser: response.Body, conn: &c.Conn}
 			return response, nil
 		}
 		c.mustClose = true
@@ -261,7 +246,7 @@
 	if err != nil {
 		return nil, fault.New(fault.KindNoServer, "backend server accepts no connection: %v", err)
 	}
-	return newServerConn(conn), nil
+	return newServerConn(conn, p.partTimeout), nil
 }
 
 // notSent returns the error for a request that was canceled before it was sent.
@@ -269,28 +254,6 @@
 	return fault.New(fault.KindDeadline, "the deadline passed or the caller left before the request was sent").WithOutcome(fault.Refused)
 }
 
-func newServerConn(conn net.Conn) *serverConn {
-	c := &serverConn{Conn: conn, headerLeft: -1}
-	c.reader = bufio.NewReaderSize(c, 4<<10)
-	return c
-}
-
-// Read implements io.Reader. It limits the length of a header, which net/http's
-// ReadResponse does not.
-func (c *serverConn) Read(p []byte) (int, error) {
-	if c.headerLeft < 0 {
-		return c.Conn.Read(p)
-	}
-	if c.headerLeft == 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headerLeft)])
-	c.headerLeft -= n
-	return n, err
-}
-
-var errHeaderTooLarge = errors.New("the header of the answer is over the limit")
-
 // put returns a connection to the pool. The connection is closed if the answer
 // was not read completely or if further bytes have arrived.
 func (p *Pool) put(c *serverConn) {
@@ -329,27 +292,6 @@
 	}
 }
 
-// clean reports whether nothing has arrived on an idle connection: neither the
-// server's close nor bytes that belong to no request.
-func (c *serverConn) clean() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	clean := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, err := syscall.Read(int(fd), one[:])
-		clean = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && clean
-}
-
 // classifySent returns the typed error for a request that was sent.
 func classifySent(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -162,7 +162,7 @@
 		p := &Pool{HeaderNames: testHeaderNames}
 		defer p.Close()
 		r := call.Request{ID: "1", Method: http.MethodGet, URI: "/"}
-		c := newServerConn(near)
+		c := newServerConn(near, 0)
 		defer c.Close()
 		response, err := p.read(c, r)
 		if err != nil {
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -20,9 +20,7 @@
 	r := call.Request{Method: http.MethodGet, URI: path, Host: addr}
 	if err = <-p.write(c, r); err == nil {
 		var response *http.Response
-		c.headerLeft = maxHeader
-		response, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.headerLeft = -1
+		response, err = c.readHead(&http.Request{Method: r.Method})
 		if err == nil {
 			err = discard(response.Body)
 			load, _ = p.HeaderNames.parseLoad(response.Header)
@@ -34,6 +32,7 @@
 		_ = c.Close()
 		return instance, load, false, eris.Wrap(err, "probe the backend server")
 	}
+	c.Next()
 	p.put(c)
 	return instance, load, healthy, nil
 }
