http1: limit the time of a caller's body and the bytes after an error

A caller whose body, chunk extension, chunk size or trailer came byte by byte kept its connection and memory for as long as it went on, because each byte restarted the idle time-out; empty lines before a request did so too, and without a limit of their number.

A body must now arrive at 1 KB/s or more over each 30 s; only its content counts. Empty lines are limited like a header, and no longer restart the idle time-out. A connection that lingers after an error is closed earlier after 16 MB.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -75,6 +75,8 @@
 		return fault.New(fault.KindHeaderTooLarge, "%v", err)
 	case errors.Is(err, http1.ErrHeaderTooSlow):
 		return fault.New(fault.KindHeaderTooSlow, "%v", err)
+	case errors.Is(err, http1.ErrBodyTooSlow):
+		return fault.New(fault.KindBodyTooSlow, "%v", err)
 	case errors.Is(err, http1.ErrNoMemory):
 		return fault.New(fault.KindOverloaded, "%v", err)
 	default:
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -40,6 +40,12 @@
 	// headStart is the time of the first read of an incomplete header; zero if there
 	// is none.
 	headStart time.Time
+	// emptyLines is the number of bytes of the empty lines before the current header.
+	emptyLines int
+	// spanStart is when the current span of a body began, and spanBody the length of the
+	// body then.
+	spanStart time.Time
+	spanBody  int
 	// declared is the framing of the request whose body is being received.
 	declared framing
 	// left is the number of bytes of a body of declared length that are still to
@@ -53,12 +59,17 @@
 	// failed is set by the first error. Further input is ignored, so that the
 	// response to bad input is written only once and is not cut off.
 	failed bool
+	// ignored is the number of bytes that were ignored after an error.
+	ignored int
 }
 
 // feed passes complete headers and complete bodies to the parser.
 func (f *framer) feed(parse func([]byte) error, data []byte) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.failed {
+		f.ignored += len(data)
+	}
 	for len(data) > 0 && !f.failed && !f.closed {
 		var n int
 		var err error
@@ -85,6 +96,9 @@
 	limit := f.limits().Header
 	for i, b := range data {
 		if len(f.head) == 0 && (b == '\r' || b == '\n') {
+			if f.emptyLines++; f.emptyLines > limit {
+				return 0, ErrHeaderTooLarge
+			}
 			continue // empty lines before a request are ignored (RFC 9112, 2.2)
 		}
 		if len(f.head) >= limit {
@@ -107,22 +121,34 @@
 	return len(data), nil
 }
 
-// expireHead reports whether the current header is incomplete and was started
-// before the given time. In that case no further input is parsed.
-func (f *framer) expireHead(startedBefore time.Time) bool {
+// expired returns an error if the current header takes too long or the current body
+// arrives too slowly. In that case no further input is parsed. Bytes around the content of
+// a chunked body do not count.
+func (f *framer) expired(now time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.failed || f.headStart.IsZero() || f.headStart.After(startedBefore) {
-		return false
+	limits := f.limits()
+	var err error
+	switch {
+	case f.failed || f.closed:
+	case !f.headStart.IsZero():
+		if now.Sub(f.headStart) >= limits.HeadTimeout {
+			err = ErrHeaderTooSlow
+		}
+	case f.inBody && now.Sub(f.spanStart) >= limits.BodySpan:
+		if len(f.body)-f.spanBody < int(minBodyRate*limits.BodySpan/time.Second) {
+			err = ErrBodyTooSlow
+		}
+		f.spanStart, f.spanBody = now, len(f.body)
 	}
-	f.failed = true
-	return true
+	f.failed = f.failed || err != nil
+	return err
 }
 
 // finishHead checks a complete header and passes it to the parser, except for
 // that of a chunked body, which is kept until the body is complete.
 func (f *framer) finishHead(parse func([]byte) error) error {
-	f.headStart = time.Time{}
+	f.headStart, f.emptyLines = time.Time{}, 0
 	declared, err := readHead(f.head)
 	if err != nil {
 		return err
@@ -132,6 +158,7 @@
 	}
 	f.declared, f.left = declared, declared.length
 	f.inBody = declared.chunked || declared.length > 0
+	f.spanStart, f.spanBody = time.Now(), 0
 	if declared.chunked {
 		return nil
 	}
@@ -216,6 +243,21 @@
 	return f.closed
 }
 
+// receiving reports whether a part of a request was received.
+func (f *framer) receiving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.partial()
+}
+
+// flooded reports whether the caller goes on to send after an error for longer than a
+// body may be.
+func (f *framer) flooded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ignored > maxIgnored
+}
+
 // partial reports whether a part of a request was received. The caller holds mu.
 func (f *framer) partial() bool { return f.inBody || len(f.head) > 0 }
 
--- a/internal/http1/limits.go
+++ b/internal/http1/limits.go
@@ -10,6 +10,10 @@
 	defaultBody        = 8 << 20
 	defaultHeader      = 64 << 10
 	defaultHeadTimeout = 10 * time.Second
+	defaultBodySpan    = 30 * time.Second
+	// minBodyRate is the lowest rate of a body in bytes per second. A slow mobile path
+	// has ten times as much.
+	minBodyRate = 1 << 10
 	// maxBodyLimit and maxHeaderLimit are the largest limits that SetLimits accepts,
 	// in bytes. A larger body would not fit into the messages between nodes.
 	maxBodyLimit   = 64 << 20
@@ -20,6 +24,7 @@
 var (
 	ErrHeaderTooLarge = errors.New("the header is over the limit")
 	ErrHeaderTooSlow  = errors.New("the header took too long to arrive")
+	ErrBodyTooSlow    = errors.New("the body arrives too slowly")
 )
 
 // Limits are the limits on the requests of callers. Zero fields mean the defaults.
@@ -28,6 +33,8 @@
 	Header, Body int
 	// HeadTimeout is the maximum time from the first byte of a header to its end.
 	HeadTimeout time.Duration
+	// BodySpan is the time over which the rate of a body is measured.
+	BodySpan time.Duration
 	// IdleTimeout is the maximum time that a connection stays open without a request.
 	IdleTimeout time.Duration
 }
@@ -42,6 +49,9 @@
 	if l.HeadTimeout <= 0 {
 		l.HeadTimeout = defaultHeadTimeout
 	}
+	if l.BodySpan <= 0 {
+		l.BodySpan = defaultBodySpan
+	}
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = defaultIdleTimeout
 	}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -29,6 +29,9 @@
 	// response. Closing it while input arrives would reset it, and the caller would
 	// lose the response.
 	lingerTime = time.Second
+	// maxIgnored is how many bytes a connection with bad input may send before it is
+	// closed earlier.
+	maxIgnored = 16 << 20
 	// engineIdleTime is the idle time-out that nbhttp sets on a connection. It sets it
 	// after its poller has started to read, so it could end the first request. The
 	// server's own idle timer applies instead.
@@ -284,9 +287,12 @@
 	err := c.framer.feed(parser.Parse, data)
 	switch {
 	case err == nil:
-		if c.pending.Load() == 0 {
+		if c.pending.Load() == 0 && c.framer.receiving() {
 			c.setIdle()
 		}
+		if c.lingering.Load() && c.framer.flooded() {
+			c.end(endInput, nil)
+		}
 	case errors.Is(err, net.ErrClosed):
 		c.end(endInput, err)
 	case !c.pipeline.end(err):
@@ -310,7 +316,7 @@
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, ErrHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, ErrHeaderTooSlow):
+	case errors.Is(err, ErrHeaderTooSlow), errors.Is(err, ErrBodyTooSlow):
 		status = http.StatusRequestTimeout
 	case errors.Is(err, ErrNoMemory):
 		status = http.StatusServiceUnavailable
@@ -332,14 +338,17 @@
 
 // Tick must be called periodically. It cancels requests whose caller's connection
 // is closed, because nbhttp reports a close only after the running handler has
-// returned. It also ends connections whose header exceeds the time-out.
+// returned. It also ends connections whose header exceeds the time-out or whose body
+// arrives too slowly.
 func (s *Server) Tick() {
-	startedBefore := time.Now().Add(-s.currentLimits().HeadTimeout)
+	now := time.Now()
 	for _, c := range s.snapshot() {
 		if closed, _ := c.IsClosed(); closed {
 			c.pipeline.cancel()
-		} else if c.pending.Load() == 0 && c.framer.expireHead(startedBefore) {
-			go s.reject(c, ErrHeaderTooSlow)
+		} else if c.pending.Load() == 0 {
+			if err := c.framer.expired(now); err != nil {
+				go s.reject(c, err)
+			}
 		}
 	}
 }
--- a/pkg/fault/error.go
+++ b/pkg/fault/error.go
@@ -42,6 +42,7 @@
 	KindTooLarge       Kind = "too-large"
 	KindHeaderTooLarge Kind = "header-too-large"
 	KindHeaderTooSlow  Kind = "header-too-slow"
+	KindBodyTooSlow    Kind = "body-too-slow"
 	KindUnknownService Kind = "unknown-service"
 	KindNoServer       Kind = "no-server"
 	KindOverloaded     Kind = "overloaded"
@@ -149,6 +150,7 @@
 	KindTooLarge:       {Kind: KindTooLarge, Status: http.StatusRequestEntityTooLarge, Outcome: Refused, Remedy: "send a smaller body"},
 	KindHeaderTooLarge: {Kind: KindHeaderTooLarge, Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: Refused, Remedy: "send fewer or shorter header fields"},
 	KindHeaderTooSlow:  {Kind: KindHeaderTooSlow, Status: http.StatusRequestTimeout, Outcome: Refused, Remedy: "send the whole header at once"},
+	KindBodyTooSlow:    {Kind: KindBodyTooSlow, Status: http.StatusRequestTimeout, Outcome: Refused, Remedy: "send the body faster"},
 	KindUnknownService: {Kind: KindUnknownService, Status: http.StatusNotFound, Outcome: Refused, Remedy: "ask an operator which services exist"},
 	KindNoServer:       {Kind: KindNoServer, Status: http.StatusServiceUnavailable, Outcome: Refused, Remedy: "retry later", Wait: time.Second},
 	KindOverloaded:     {Kind: KindOverloaded, Status: http.StatusServiceUnavailable, Outcome: Refused, Remedy: "retry after the stated wait", Wait: time.Second},
