peer: bound slow frames, open streams and answers over the window

A peer that sent the head or body of a request byte by byte kept its connection for as long as it went on; the client's check of silence ends that for answers, but the server has no such check. The number of requests that a peer opens and never ends had no limit, and a client kept all bytes of an answer that ignored its window, while its caller didn't read.

A frame now has 30 s from its first byte to its end. A peer with more than 4,096 open streams is disconnected, and an answer over its window is cut off as truncated.

Failed before: TestEndlessRequestsOfPeersAreBounded (head and body by drips), TestOpenStreamsOfPeersAreBounded, TestEndlessAnswersOfPeersAreBounded (body over the window); the other cases passed. With the change the three pass 10 of 10 times with -race, and internal/peer and internal/mesh pass.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -3,11 +3,15 @@
 package peer
 
 import (
+	"bufio"
 	"encoding/binary"
 	"io"
 	"net"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/vanillasail/vanillasail/internal/tcp"
 )
 
 // Frame types. Streams are opened by the side that dialed the connection.
@@ -44,6 +48,9 @@
 	// answerWindow is the flow control window of an answer: how many bytes may be sent
 	// before the client has read them.
 	answerWindow = 256 << 10
+	// frameTimeout is the maximum time from the first byte of a frame to its end. The
+	// largest frame fits into it on a link that many connections share.
+	frameTimeout = 30 * time.Second
 )
 
 type frame struct {
@@ -78,6 +85,31 @@
 	return f, nil
 }
 
+// frameReader reads the frames of a connection.
+type frameReader struct {
+	conn   tcp.Conn
+	reader *bufio.Reader
+}
+
+// newFrameReader returns a reader; a timeout of zero means frameTimeout.
+func newFrameReader(conn net.Conn, timeout time.Duration) *frameReader {
+	if timeout <= 0 {
+		timeout = frameTimeout
+	}
+	r := &frameReader{conn: tcp.Conn{Conn: conn, Timeout: timeout}}
+	r.reader = bufio.NewReaderSize(&r.conn, readBufferSize)
+	return r
+}
+
+func (r *frameReader) next() (frame, error) {
+	f, err := readFrame(r.reader)
+	r.conn.Next()
+	if r.reader.Buffered() > 0 {
+		r.conn.Begin()
+	}
+	return f, err
+}
+
 // appendBody appends the data frames of a body and its end frame.
 func appendBody(out net.Buffers, stream uint32, body []byte) net.Buffers {
 	for len(body) > 0 {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"encoding/binary"
 	"net"
@@ -148,9 +147,9 @@
 
 // readFrames passes frames to their streams until the connection ends.
 func (l *link) readFrames() {
-	r := bufio.NewReaderSize(l.socket, readBufferSize)
+	r := newFrameReader(l.socket, 0)
 	for {
-		f, err := readFrame(r)
+		f, err := r.next()
 		if err != nil {
 			l.end(ErrConnectionLost)
 			return
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
@@ -53,6 +52,9 @@
 	// Uplink schedules the answers; nil means that they are sent at once.
 	Uplink Uplink
 
+	// frameTimeout is the maximum time of a frame; zero means the default.
+	frameTimeout time.Duration
+
 	listener net.Listener
 	// sending counts the answers that are being sent.
 	sending atomic.Int64
@@ -61,7 +63,11 @@
 	closed  bool
 }
 
-const defaultMaxBody = 64 << 20
+const (
+	defaultMaxBody = 64 << 20
+	// maxStreams bounds the requests of one peer that have no answer yet.
+	maxStreams = 4096
+)
 
 // Listen binds the TCP address and starts to serve.
 func (s *Server) Listen(addr string) error {
@@ -138,9 +144,9 @@
 
 func (a *serverConn) readFrames() {
 	defer a.end()
-	r := bufio.NewReaderSize(a.socket, readBufferSize)
+	r := newFrameReader(a.socket, a.server.frameTimeout)
 	for {
-		f, err := readFrame(r)
+		f, err := r.next()
 		if err != nil || a.handleFrame(f) != nil {
 			return
 		}
@@ -200,7 +206,11 @@
 	s := &serverStream{head: f.payload, ctx: ctx, cancel: cancel, window: answerWindow, credited: make(chan struct{}, 1)}
 	a.mu.Lock()
 	a.streams[f.stream] = s
+	open := len(a.streams)
 	a.mu.Unlock()
+	if open > maxStreams {
+		return eris.Errorf("more than %d streams are open", maxStreams)
+	}
 	return a.socket.frame(frameAccept, f.stream, nil)
 }
 
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -22,6 +22,9 @@
 	cond   sync.Cond
 	answer []byte
 	chunks [][]byte
+	// unread is the number of bytes in chunks. A peer that exceeds the window, which small
+	// answers do not count against, ends the stream.
+	unread int
 	// uncredited counts bytes that were read and not yet credited to the peer.
 	uncredited int
 	ended      bool
@@ -49,7 +52,12 @@
 		s.answer = f.payload
 		s.closeHead()
 	case frameData:
-		s.chunks = append(s.chunks, f.payload)
+		if s.unread += len(f.payload); s.unread > answerWindow+dataFrameSize {
+			s.err, s.chunks = ErrTruncated, nil
+			s.closeHead()
+		} else if len(f.payload) > 0 {
+			s.chunks = append(s.chunks, f.payload)
+		}
 	case frameEnd:
 		s.ended = true
 	case frameReset:
@@ -148,6 +156,7 @@
 	if s.chunks[0] = s.chunks[0][n:]; len(s.chunks[0]) == 0 {
 		s.chunks = s.chunks[1:]
 	}
+	s.unread -= n
 	credit := 0
 	if s.uncredited += n; s.uncredited >= answerWindow/4 && !s.ended {
 		credit, s.uncredited = s.uncredited, 0
