node: limit the time in which a request of another node arrives

A node whose request stopped or came byte by byte held a stream and the memory of its declared body for as long as its connection lived. An answer of empty data frames, which no node sends, was read without end.

A request now has 35 s to arrive, as long as the longest request lasts, and is refused as not run after that. An empty data frame cuts the answer off.

--- a/internal/node/answer_body.go
+++ b/internal/node/answer_body.go
@@ -43,7 +43,7 @@
 		if kind == frameFault {
 			return 0, b.fault(size)
 		}
-		if kind != frameData {
+		if kind != frameData || size == 0 { // a node sends no empty frames
 			return 0, b.truncated(io.ErrUnexpectedEOF)
 		}
 		b.remaining = size
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -79,6 +79,11 @@
 }
 
 func (t *Transport) serve(stream *quic.Stream) {
+	timeout := t.requestTimeout
+	if timeout <= 0 {
+		timeout = requestTimeout
+	}
+	_ = stream.SetReadDeadline(time.Now().Add(timeout))
 	reader := bufio.NewReaderSize(stream, readBufferSize)
 	var head requestHead
 	if err := readHead(reader, &head); err != nil {
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -39,6 +39,9 @@
 
 	// retireDelay is longer than the longest request.
 	retireDelay = 35 * time.Second
+	// requestTimeout is how long a request of another node may take to arrive. After the
+	// longest request, its answer is of no use.
+	requestTimeout = retireDelay
 
 	maxStreams = 4096
 
@@ -76,6 +79,9 @@
 	// used directly.
 	Socket func(socket *net.UDPConn) net.PacketConn
 
+	// requestTimeout bounds the arrival of a request; zero means the default.
+	requestTimeout time.Duration
+
 	quic     *quic.Transport
 	listener *quic.Listener
 	streams  sync.WaitGroup
