store: limit the header of a reply to 64 KB

A store that sent a header or interim answers without end was read for 10 MB, net/http's default, or up to the request's time-out. Bodies and slow replies were bounded already, by 64 MB and by the time-out of the whole request.

--- a/internal/store/endpoint.go
+++ b/internal/store/endpoint.go
@@ -26,6 +26,8 @@
 	DefaultTimeout = 2 * time.Second
 	// maxReply limits the memory for one reply, in bytes.
 	maxReply = 64 << 20
+	// MaxHeader is the size limit of a reply's header in bytes, for http.Transport.
+	MaxHeader = 64 << 10
 )
 
 // defaultClient follows no redirects and uses no proxy: the endpoint is an IP
@@ -34,6 +36,8 @@
 	Transport: &http.Transport{
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: MaxHeader,
 	},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
