--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/vanillasail/vanillasail/internal/tcp"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
@@ -216,3 +217,76 @@
 		})
 	}
 }
+
+// FuzzEndlessAnswer checks that the number of bytes that are read of an answer without
+// end is bounded at both doors, whatever the bytes are.
+func FuzzEndlessAnswer(f *testing.F) {
+	const sealed = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n"
+	f.Add([]byte(sealed), []byte("X: x\r\n"))
+	f.Add([]byte(""), []byte("HTTP/1.1 103 Early Hints\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n"), []byte("1;x=y\r\nx\r\n"))
+	f.Add([]byte(sealed+"Transfer-Encoding: chunked\r\n\r\n0\r\n"), []byte("X: x\r\n"))
+	f.Add([]byte(sealed+"Content-Length: 1\r\n\r\n"), []byte("xHTTP/1.1 200 OK\r\n"))
+	f.Fuzz(func(t *testing.T, first, text []byte) {
+		if len(text) == 0 || len(first) > 4096 || len(text) > 4096 {
+			return
+		}
+		stream := &endlessConn{first: first, text: text}
+		p := Pool{HeaderNames: testHeaderNames}
+		c := newServerConn(stream, 0)
+		if response, err := p.read(c, request(http.MethodGet)); err == nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bufferedAnswer))
+		}
+		assert.Assert(t, stream.read.Load() < endlessSent, "the pool read %d bytes", stream.read.Load())
+
+		stream = &endlessConn{first: first, text: text}
+		var client Client
+		client.roundTripper().DialContext = func(context.Context, string, string) (net.Conn, error) {
+			return &tcp.Conn{Conn: stream}, nil
+		}
+		defer client.CloseIdle()
+		if answer, err := client.Do(t.Context(), "127.0.0.1:1", request(http.MethodGet)); err == nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, bufferedAnswer))
+			_ = answer.Body.Close()
+		}
+		assert.Assert(t, stream.read.Load() < endlessSent, "the client read %d bytes", stream.read.Load())
+	})
+}
+
+// endlessConn is a connection on which first arrives, and then text again and again.
+type endlessConn struct {
+	net.Conn
+	first, text []byte
+	read        atomic.Int64
+	closed      atomic.Bool
+}
+
+// Read implements io.Reader.
+func (c *endlessConn) Read(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	n := 0
+	for ; n < len(p); n++ {
+		at := int(c.read.Load()) + n
+		if at < len(c.first) {
+			p[n] = c.first[at]
+		} else {
+			p[n] = c.text[(at-len(c.first))%len(c.text)]
+		}
+	}
+	c.read.Add(int64(n))
+	return n, nil
+}
+
+// Write implements io.Writer.
+func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// Close implements io.Closer.
+func (c *endlessConn) Close() error {
+	c.closed.Store(true)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *endlessConn) SetReadDeadline(time.Time) error { return nil }
