--- a/pkg/roster/relays.go
+++ b/pkg/roster/relays.go
@@ -32,27 +32,32 @@
 	if len(r.entries) <= directNodes {
 		return nil
 	}
-	type ranked struct {
-		Entry
-		rank uint64
-	}
-	regions := make(map[string][]ranked)
+	regions := make(map[string]bool)
 	for _, e := range r.entries {
-		if !e.Stopping && usable(e) {
-			regions[e.Region] = append(regions[e.Region], ranked{e, xxhash.Sum64String(e.Node)})
+		regions[e.Region] = true
+	}
+	own := r.RelaysOf(region, usable)
+	for name := range regions {
+		if name != region {
+			own = append(own, r.RelaysOf(name, usable)...)
 		}
 	}
-	var own, others []Entry
-	for name, nodes := range regions {
-		slices.SortFunc(nodes, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-		n := max(minRelays, (len(nodes)+nodesPerRelay-1)/nodesPerRelay)
-		for _, e := range nodes[:min(n, len(nodes))] {
-			if name == region {
-				own = append(own, e.Entry)
-			} else {
-				others = append(others, e.Entry)
-			}
+	return own
+}
+
+// RelaysOf returns the relays of one region in order of preference, nil if there are
+// none because the nodes are few.
+func (r *Roster) RelaysOf(region string, usable func(Entry) bool) []Entry {
+	if len(r.entries) <= directNodes {
+		return nil
+	}
+	var nodes []Entry
+	for _, e := range r.entries {
+		if e.Region == region && !e.Stopping && usable(e) {
+			nodes = append(nodes, e)
 		}
 	}
-	return append(own, others...)
+	slices.SortFunc(nodes, func(a, b Entry) int { return cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node)) })
+	n := max(minRelays, (len(nodes)+nodesPerRelay-1)/nodesPerRelay)
+	return nodes[:min(n, len(nodes))]
 }
