mesh: tell other regions of changes through relays

What callers saw: nothing; what operators pay: a node that changes or starts told every other node itself.

Change: above 24 nodes a node tells those of its region and two relays of each other region, which pass the entry on, at most one message to a node in 100 ms and again until it arrives. Relays answer with the entries of their region that the node lacks. If no relay takes the entry in three attempts, all nodes of the region are told directly as before; nodes of older versions do not answer that they pass on, so the same holds for them.

--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -46,6 +46,9 @@
 	// pending holds the remaining attempts for peers that do not have the newest
 	// entry.
 	pending map[string]int
+	// spreading holds the remaining attempts for other regions whose relays do not have
+	// the newest entry.
+	spreading map[string]int
 	// published is the change number of the entry in the registry, zero before the
 	// first write; first is the position and time of that write.
 	published      uint64
@@ -87,17 +90,36 @@
 
 // notifyAll sends the newest entry to all other nodes except the informed ones.
 func (a *announcer) notifyAll(ctx context.Context, informed map[string]bool) {
+	relayed := make(map[string]bool)
+	for _, e := range a.directory.others() {
+		if _, seen := relayed[e.Region]; !seen {
+			relayed[e.Region] = e.Region != a.Region && len(a.directory.relaysOf(e.Region)) > 0
+		}
+	}
 	a.mu.Lock()
+	if a.spreading == nil {
+		a.spreading = make(map[string]int)
+	}
+	a.addPending(func(e roster.Entry) bool {
+		if relayed[e.Region] && !informed[e.Node] {
+			a.spreading[e.Region] = spreadAttempts
+		}
+		return !relayed[e.Region] && !informed[e.Node]
+	})
+	a.mu.Unlock()
+	a.notifyPending(ctx)
+}
+
+// addPending adds nodes that are to be notified directly. The caller holds a.mu.
+func (a *announcer) addPending(include func(e roster.Entry) bool) {
 	if a.pending == nil {
 		a.pending = make(map[string]int)
 	}
 	for _, e := range a.directory.others() {
-		if !informed[e.Node] {
+		if include(e) {
 			a.pending[e.Node] = updateAttempts
 		}
 	}
-	a.mu.Unlock()
-	a.notifyPending(ctx)
 }
 
 // informed returns the nodes that find this one in the list of nodes, because they
@@ -127,7 +149,10 @@
 	for name := range a.pending {
 		names = append(names, name)
 	}
-	start := len(names) > 0 && !a.retryScheduled
+	for region := range a.spreading {
+		go a.spread(ctx, region)
+	}
+	start := len(names)+len(a.spreading) > 0 && !a.retryScheduled
 	a.retryScheduled = a.retryScheduled || start
 	a.mu.Unlock()
 	for _, name := range names {
@@ -255,12 +280,16 @@
 func (a *announcer) receive(ctx context.Context, n nodeUpdate) {
 	changed := a.directory.merge([]roster.Entry{n.Entry}, time.Now())
 	for _, e := range changed {
-		a.Log.WithField("node", e.Node).WithField("server", e.Server).WithField("state", string(e.State)).
-			WithField("stopping", e.Stopping).WithField("change", e.Change).Info("node told of itself")
+		a.logEntry(e, "node told of itself")
 	}
 	a.fetchIfNewer(ctx, n.Version, n.Entry)
 }
 
+func (a *announcer) logEntry(e roster.Entry, event string) {
+	a.Log.WithField("node", e.Node).WithField("server", e.Server).WithField("state", string(e.State)).
+		WithField("stopping", e.Stopping).WithField("change", e.Change).Info(event)
+}
+
 // publish writes the newest entry to the registry and retries until it is written.
 func (a *announcer) publish(ctx context.Context) {
 	a.mu.Lock()
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -16,7 +16,7 @@
 )
 
 // message is the head of a request between nodes. Exactly one of Call, Reserve,
-// Update, Fetch, Follow and Crash is set.
+// Update, Entries, Fetch, Follow and Crash is set.
 type message struct {
 	Call *call.Request `msgpack:"c,omitempty"`
 	// Reserve is a request without its body, for which a slot is to be reserved.
@@ -24,6 +24,8 @@
 	// Ticket identifies the slot that was reserved for a Call; zero means none.
 	Ticket uint64      `msgpack:"t,omitempty"`
 	Update *nodeUpdate `msgpack:"n,omitempty"`
+	// Entries are those of nodes of other regions, which a relay passes on.
+	Entries entries `msgpack:"e,omitempty"`
 	// Fetch requests the configuration.
 	Fetch bool `msgpack:"f,omitempty"`
 	// Follow requests the next configuration after this version; the answer waits
@@ -42,11 +44,28 @@
 	Entry roster.Entry `msgpack:"e"`
 	// Version is the configuration that the sender has.
 	Version uint64 `msgpack:"v"`
+	// PassOn asks a relay to pass the entry on to the nodes of its region, and Marks are
+	// those of the entries that the sender has of that region (roster.Marks).
+	PassOn bool   `msgpack:"p,omitempty"`
+	Marks  []byte `msgpack:"m,omitempty"`
 	// LaterStart is set in a reply to a node whose name is known with a later start,
 	// because its clock has gone back since.
 	LaterStart int64 `msgpack:"a,omitempty"`
 }
 
+// entries is a bounded list of entries.
+type entries []roster.Entry
+
+// maxEntries bounds the entries of one message.
+const maxEntries = 4096
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (e *entries) DecodeMsgpack(d *msgpack.Decoder) error {
+	list, err := wire.List[roster.Entry](d, maxEntries, "entries")
+	*e = list
+	return err
+}
+
 // response is the head of an answer. If Fault is not nil, there is no answer.
 type response struct {
 	Fault  *fault.Error `msgpack:"e,omitempty"`
@@ -67,6 +86,10 @@
 	Update *nodeUpdate `msgpack:"w,omitempty"`
 	// Patch is set if the configuration in the answer is a patch.
 	Patch *patchInfo `msgpack:"p,omitempty"`
+	// PassedOn is set by a relay that passes the entry of an update on, and Entries are
+	// those of its region that the sender of the update lacks.
+	PassedOn bool    `msgpack:"y,omitempty"`
+	Entries  entries `msgpack:"z,omitempty"`
 	// Version is the configuration that the node has.
 	Version uint64 `msgpack:"v,omitempty"`
 }
