placement: expect servers without fresh figures to fail like the others

Callers of a service of 78 servers that all failed half of their requests waited while each request was handed back about five times, also by servers of other regions, before one was asked to take it.

A node sends a few requests a second to so many servers, so nearly all of its load figures are missing or older than a second. loadCost took such a server for idle, so it always looked better than a known one.

The share of failing servers among those with fresh figures is now expected of the others at the same distance. From three quarters on, a server without figures gets the request as the last one, and its cost is that of a failing server by that share. A failure domain or region is still tried while none of its servers was seen failing. While no server fails, nothing changes.

--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -117,11 +117,16 @@
 //
 // Load pattern: load figures are tens of milliseconds old, slow periods last 150 ms,
 // and many nodes place requests at the same time. The weight of a figure therefore
-// falls with its age, the requests that this node has sent since then are added, and
-// ties are broken at random.
+// falls with its age, down to what the fresh figures of the other servers say, the
+// requests that this node has sent since then are added, and ties are broken at random.
 func (c *Costs) Pick(servers []Server, r Request, now time.Time) (Choice, bool) {
+	return c.pick(servers, newOutlook(servers, now), r, now)
+}
+
+func (c *Costs) pick(servers []Server, o outlook, r Request, now time.Time) (Choice, bool) {
 	best, found := Choice{}, false
 	untried := 0
+	unknownCosts := o.costs()
 	for i := range servers {
 		s := &servers[i]
 		tried := slices.Contains(r.Tried, s.ID)
@@ -129,6 +134,9 @@
 			untried++
 		}
 		score := c.score(s, r, now)
+		if cost := unknownCosts[s.Distance]; cost > 0 && !s.failing(now) {
+			score += time.Duration((1 - s.freshness(now)) * float64(cost))
+		}
 		if !found || score < best.Score {
 			best = Choice{Server: *s, Score: score, Known: !s.Seen.IsZero(), Tried: tried}
 			found = true
@@ -163,15 +171,23 @@
 	return score + s.loadCost(r.Work, now)
 }
 
+// fresh reports whether the load figures of the server are used.
+func (s *Server) fresh(now time.Time) bool { return !s.Seen.IsZero() && now.Sub(s.Seen) <= maxLoadAge }
+
+// freshness returns the weight of the server's load figures: 1 when they have just
+// arrived, 0 when they are missing or old.
+func (s *Server) freshness(now time.Time) float64 {
+	return max(1-float64(now.Sub(s.Seen))/float64(maxLoadAge), 0)
+}
+
 // loadCost returns the expected delay because of the server's load.
 func (s *Server) loadCost(work time.Duration, now time.Time) time.Duration {
 	limit := max(s.Limit, 1)
-	if s.Seen.IsZero() || now.Sub(s.Seen) > maxLoadAge {
+	if !s.fresh(now) {
 		return fullLoadCost * time.Duration(s.LocalInFlight) / time.Duration(limit+s.LocalInFlight)
 	}
 	age := now.Sub(s.Seen)
-	freshness := 1 - float64(age)/float64(maxLoadAge)
-	busy := float64(s.Running)*freshness + float64(s.LocalInFlight)
+	busy := float64(s.Running)*s.freshness(now) + float64(s.LocalInFlight)
 	cost := time.Duration(float64(fullLoadCost) * busy / float64(limit))
 	cost += max(s.Wait-age, 0)
 	if s.Unhealthy {
@@ -187,7 +203,7 @@
 // failing reports whether the server is known to fail many of its requests. If such a
 // server is the best, all others fail too, and it would hand the request back.
 func (s *Server) failing(now time.Time) bool {
-	return s.Unhealthy && now.Sub(s.Seen) <= maxLoadAge
+	return s.Unhealthy && s.fresh(now)
 }
 
 // Full reports whether the server is known to have no free slot.
--- a/pkg/placement/search.go
+++ b/pkg/placement/search.go
@@ -20,7 +20,7 @@
 // Load pattern: the figures of a node are older than the slow periods of the
 // servers, so the first choice is often slow or full. A request that was handed back
 // goes on to the next server. After a few round trips, or if the remaining servers
-// are known to be full or to fail, it goes to one that takes it.
+// are known to be full or to fail or are expected to fail, it goes to one that takes it.
 type Search struct {
 	// handedBack lists servers that handed the request back, failed those that will
 	// not be tried again.
@@ -31,8 +31,10 @@
 // because no other server will be tried. ok is false if none is left.
 func (s *Search) Next(c *Costs, servers []Server, r Request, now time.Time) (choice Choice, last, ok bool) {
 	r.Tried = s.handedBack
-	choice, ok = c.Pick(s.withoutFailed(servers), r, now)
-	last = choice.Tried || choice.Untried == 0 || len(s.handedBack) >= maxHandBacks || choice.Server.Full(now) || choice.Server.failing(now)
+	o := newOutlook(servers, now)
+	choice, ok = c.pick(s.withoutFailed(servers), o, r, now)
+	last = choice.Tried || choice.Untried == 0 || len(s.handedBack) >= maxHandBacks || choice.Server.Full(now) || choice.Server.failing(now) ||
+		!choice.Server.fresh(now) && o.hopeless(choice.Server.Distance)
 	return choice, last, ok
 }
 
