owner: wait for the previous owner's settlement up to the deadline

A caller whose order had not run got 409 "key is still running" (outcome unknown) while a node stopped. Trace of a trial with a log line at each refusal (scenario rolling, five copies on two cores): at 22.106 s the owner n1 released the claim because the shard's pair had changed; the new owner n0 had the claim from the transfer of the records, waited 1 s for the settlement, and refused at 23.864 s, before it came.

The new owner now waits as long as the request may, at most the 30 s for which the previous owner settles its claims. A key that runs at its present owner is still answered with 409 at once.

--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -23,9 +23,6 @@
 	// The transfer takes milliseconds, but with a limit of 500 ms keys were
 	// refused on a busy machine.
 	syncWait = 3 * time.Second
-	// settleWait bounds how long a key that is claimed in an earlier epoch waits
-	// for its settlement, which the previous owner may just have sent.
-	settleWait = time.Second
 	// maxOwnerTries bounds how many epochs of a shard a request tries. A rolling
 	// replacement changes a shard twice within milliseconds: by the hand-over
 	// and by the new backup.
@@ -175,7 +172,7 @@
 
 // begin looks up the key and claims it if it is new; see once.RecordStore.Begin. A
 // new key waits for a limited time for the transfer of records to a new backup, and
-// a key claimed by the previous owner for its settlement.
+// a key claimed by the previous owner for its settlement, at most handOverGrace.
 func (c *Controller) begin(ctx context.Context, service, key string, digest uint64) (once.Record, once.Verdict) {
 	var timeout <-chan time.Time
 	for {
@@ -209,7 +206,7 @@
 		return syncWait
 	case once.VerdictRunning:
 		if s, _ := c.Records.Shard(record.Service, record.Index); record.Epoch < s.Epoch {
-			return settleWait
+			return handOverGrace
 		}
 	}
 	return 0
