owner: send a key again while its owner cannot run it yet

Orders were refused with most of their deadline left while nodes stopped on a busy machine. Trace of trials (scenario rolling, five copies on two and on four cores, a log line at each refusal): every refused order ended at the entry node, which gives up when the shard map read after a refusal has the same epoch, or cannot be read. The refusals were those of owners whose backup had not confirmed the claim within a second, whose backup was being replaced, and of owners to which a dial took over 2 s. A stopping owner that has not handed over its shards yet ends the same way, by reading: the caller then sees "node n0 is stopping".

Such a refusal says that nothing ran. The entry node now sends the request again after a pause, to the owner that the map names by then: at most 8 times in all, with pauses from 0.1 to 0.8 s, and not if a claim could no longer be confirmed before the deadline. It still refuses at once if the pair cannot recover by itself.

TestRefusalByOwnerIsNotFinal failed before: "backup b1 did not confirm the key".

--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -23,10 +23,15 @@
 	// The transfer takes milliseconds, but with a limit of 500 ms keys were
 	// refused on a busy machine.
 	syncWait = 3 * time.Second
-	// maxOwnerTries bounds how many epochs of a shard a request tries. A rolling
-	// replacement changes a shard twice within milliseconds: by the hand-over
-	// and by the new backup.
-	maxOwnerTries = 4
+	// maxOwnerTries bounds how often a request is sent to owners of its key. A
+	// rolling replacement changes a shard twice within milliseconds: by the
+	// hand-over and by the new backup.
+	maxOwnerTries = 8
+	// firstOwnerPause is the pause before a request is sent again to an owner that
+	// refused it. It doubles up to maxOwnerPause. Together the pauses outlast the
+	// replacement of a dead owner, which takes about 2 s.
+	firstOwnerPause = 100 * time.Millisecond
+	maxOwnerPause   = 800 * time.Millisecond
 )
 
 // Controller runs requests with an idempotency key at most once and passes all
@@ -92,39 +97,68 @@
 func scopedKey(r call.Request) string { return r.Tenant + "\x00" + r.Key }
 
 // serveAsEntry forwards a request to the owner of its key. If that node refuses
-// and another owner may accept, the shard map is read again from the table.
+// and the same or another owner may accept, the shard map is read again from the
+// table and the request is sent again, until its deadline is near.
 func (c *Controller) serveAsEntry(ctx context.Context, r call.Request) (*call.Answer, error) {
-	var tried once.Shard
-	var refusal error
-	var after time.Time
-	for range maxOwnerTries {
-		m, err := c.load(ctx, r.Service, after)
-		if err != nil {
-			return nil, firstError(refusal, err)
-		}
-		s := m.Shard(scopedKey(r))
-		if s.Epoch <= tried.Epoch {
-			break
-		}
+	m, err := c.load(ctx, r.Service, time.Time{})
+	if err != nil {
+		return nil, err
+	}
+	s, pause := m.Shard(scopedKey(r)), firstOwnerPause
+	for tries := 1; ; tries++ {
 		answer, err := c.forward(ctx, r.WithEpoch(s.Epoch), s)
-		if err == nil || !retryAtNewOwner(fault.As(err)) {
+		if err == nil || !mayAcceptLater(fault.As(err)) || tries == maxOwnerTries {
 			return answer, err
 		}
-		tried, refusal, after = s, err, c.now()
+		after, tried := c.now(), s.Epoch
 		c.notifyNewOwner(m, s)
+		read, readErr := c.load(ctx, r.Service, after)
+		if readErr == nil {
+			m, s = read, read.Shard(scopedKey(r))
+		}
+		if s.Epoch > tried {
+			continue
+		}
+		if !c.recoverable(s, readErr == nil) || !waitFor(ctx, pause) {
+			return nil, err
+		}
+		pause = min(2*pause, maxOwnerPause)
 	}
-	return nil, refusal
 }
 
-func firstError(first, second error) error {
-	if first != nil {
-		return first
+// recoverable reports whether the pair of a shard may accept keys again without an
+// operator. While the table cannot be read, a lost process is not replaced.
+func (c *Controller) recoverable(s once.Shard, tableReadable bool) bool {
+	owner := c.Members.Status(s.Owner)
+	backup := owner
+	if !s.Backup.IsZero() {
+		backup = c.Members.Status(s.Backup)
+	}
+	if !tableReadable {
+		return max(owner, backup) < once.Dead
+	}
+	return min(owner, backup) != once.Dead
+}
+
+// waitFor waits unless the request's context then ends before a claim could be
+// confirmed.
+func waitFor(ctx context.Context, pause time.Duration) bool {
+	if end, ok := ctx.Deadline(); ok && time.Until(end) < pause+claimTimeout {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return second
 }
 
-// retryAtNewOwner reports whether another owner may accept the refused request.
-func retryAtNewOwner(f *fault.Error) bool {
+// mayAcceptLater reports whether another owner, or the same one later, may accept the
+// refused request.
+func mayAcceptLater(f *fault.Error) bool {
 	switch f.Kind {
 	case fault.KindNoOwner, fault.KindUnreachable, fault.KindStopped:
 		return f.Outcome == fault.Refused
--- a/internal/owner/release_test.go
+++ b/internal/owner/release_test.go
@@ -105,3 +105,18 @@
 	assert.Equal(t, moves, 2)
 	assert.Equal(t, c.runs(key), 1)
 }
+
+// TestRefusalByOwnerIsNotFinal guards against the refusal of a new key whose owner
+// cannot run it yet, although the deadline allows another try.
+func TestRefusalByOwnerIsNotFinal(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1")
+	c.nodes["a1"].expect(t, "", request("k"))
+	s, owner, _, third := c.pair(t, "k")
+	c.waitIdle()
+	owner.dropKind.Store(KindClaim)
+	time.AfterFunc(50*time.Millisecond, func() { owner.dropKind.Store("") })
+	key := otherKeyOf(s)
+	_, _, err := third.send(t, request(key))
+	assert.NilError(t, err)
+	assert.Equal(t, c.runs(key), 1)
+}
