retry: hand a request over past several leaving nodes

When several nodes stop at once, a request that two of them refuse gets "node n1 is stopping" although others could serve it: a refused request was handed over once. It is right for overload, where each further send adds load. A leaving node has run nothing and is not asked twice, so that the bound there only has to be finite.

A request is now handed over past at most eight leaving nodes, free of charge and until its deadline. They don't count among its four other attempts.

TestSeveralNodesStop, five leaving nodes before one that serves, failed before with "draining".

--- a/internal/daemon/dispatch_test.go
+++ b/internal/daemon/dispatch_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -121,6 +122,22 @@
 	}
 }
 
+// Guards against a request that is refused because the nodes which it reaches first
+// all stop, although others could serve it.
+func TestSeveralNodesStop(t *testing.T) {
+	f := &fakeServers{secondBegun: make(chan struct{}), secondEnded: make(chan struct{})}
+	f.sends = append(slices.Repeat([]func(context.Context) (*call.Answer, error){fails(fault.KindDraining)}, 5), answers("sixth"))
+	d := newHedgingDispatcher(t, f, true, 8)
+	answer, err := d.Serve(t.Context(), call.Request{
+		Service: "stock", Method: http.MethodPost, URI: "/stock/item", Deadline: time.Now().Add(10 * time.Second),
+	})
+	assert.NilError(t, err)
+	text, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "sixth")
+	assert.Equal(t, int(f.n.Load()), 6)
+}
+
 // newHedgingDispatcher returns a dispatcher that knows servers with a usual run time
 // of a millisecond, and has accumulated an allowance for hedges and retries.
 func newHedgingDispatcher(t *testing.T, f *fakeServers, off bool, servers int) *dispatcher {
--- a/pkg/retry/attempts.go
+++ b/pkg/retry/attempts.go
@@ -6,21 +6,30 @@
 	"time"
 )
 
-// MaxAttempts is the largest number of attempts of one request at one node.
-const MaxAttempts = 4
+const (
+	// MaxAttempts is the largest number of attempts of one request at one node, without
+	// those that a leaving node refused.
+	MaxAttempts = 4
+	// MaxLeaving is the largest number of further attempts for those that a leaving node
+	// refused. Several nodes may stop at once before this one learns of it.
+	MaxLeaving = 8
+)
 
 // Attempts tracks the attempts of one request at one node. Start sets the allowance
 // that the request arrived with; the zero value has none.
 //
 // Invariant: the sum of kept and all of forwarded is at most the allowance of Start.
 type Attempts struct {
-	mu         sync.Mutex
-	kept       Allowance
-	servers    [MaxAttempts]string
-	forwarded  [MaxAttempts]uint8
-	sent       int
-	permitted  int // attempts permitted beyond the first
-	handedOver bool
+	mu        sync.Mutex
+	kept      Allowance
+	servers   [MaxAttempts + MaxLeaving]string
+	forwarded [MaxAttempts + MaxLeaving]uint8
+	sent      int
+	permitted int // attempts permitted beyond the first
+	// leaving counts the attempts that leaving nodes refused, at most MaxLeaving.
+	leaving int
+	// overloaded is set by the handover after a refusal because of overload.
+	overloaded bool
 }
 
 // Start sets the allowance that the request arrived with.
@@ -36,7 +45,7 @@
 func (t *Attempts) Send(server string) (Allowance, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.sent > t.permitted || t.sent == MaxAttempts || slices.Contains(t.servers[:t.sent], server) {
+	if t.sent > t.permitted || t.exhausted() || slices.Contains(t.servers[:t.sent], server) {
 		return Allowance{}, false
 	}
 	kept, forwarded := t.kept.split()
@@ -58,27 +67,35 @@
 	}
 }
 
-// Retry reports whether the request may be sent to another server. A refused
-// request is handed over at most once. The handover costs no retry if the server is
-// draining, since each planned drain would otherwise use up the budget.
+// Retry reports whether the request may be sent to another server. A request refused
+// because of overload is handed over at most once. A handover costs no retry if the
+// node is leaving, since each planned stop would otherwise use up the budget, and
+// there may be one for each leaving node, since nothing has run there.
 func (t *Attempts) Retry(b *Budget, idempotent bool, c Cause, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.sent == MaxAttempts || c.refused() && t.handedOver {
+	free := c == Leaving && !t.kept.expired(now)
+	if free && t.leaving < MaxLeaving {
+		t.leaving++
+	}
+	if t.exhausted() || c == Overloaded && t.overloaded {
 		return false
 	}
-	if c != Leaving || t.kept.expired(now) {
+	if !free {
 		left, ok := b.Spend(t.kept, idempotent, c, now)
 		if !ok {
 			return false
 		}
 		t.kept = left
 	}
-	t.handedOver = t.handedOver || c.refused()
+	t.overloaded = t.overloaded || c == Overloaded
 	t.permitted = t.sent
 	return true
 }
 
+// exhausted reports whether no further attempt may be made.
+func (t *Attempts) exhausted() bool { return t.sent-t.leaving >= MaxAttempts }
+
 // Hedge reports whether a second attempt may run in parallel with the first. Only
 // the first attempt of an idempotent request is hedged.
 func (t *Attempts) Hedge(h *Hedger, c HedgeCall, now time.Time) bool {
--- a/pkg/retry/cause.go
+++ b/pkg/retry/cause.go
@@ -31,9 +31,6 @@
 // NotRun reports whether the request is known not to have run.
 func (c Cause) NotRun() bool { return c >= NotSent }
 
-// refused reports whether the cause leads to a handover instead of a retry.
-func (c Cause) refused() bool { return c >= Overloaded }
-
 // CauseOf classifies the error of an attempt.
 func CauseOf(err *fault.Error) Cause {
 	switch err.Kind {
