node: let accepted requests make calls while the transport closes

A node that stops waits for the requests that it accepted before, but refused to send anything for them from the first moment: a keyed request that its owner passes on to a server then failed with "node n0 is stopping", of the owner itself, and settlements were not sent. Found by reading; not seen in the traces.

Links may now be opened and used until the accepted streams have ended. TestAcceptedRequestMayCallDuringClose failed before with "stopped: node far is stopping".

--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -84,8 +84,10 @@
 	// accepted holds the open connections that other nodes dialed, at most maxAccepted.
 	accepted map[*quic.Conn]*accepted
 	// links has at most maxLinks entries; the key is the peer's ID.
-	links  map[string]*link
-	closed bool
+	links map[string]*link
+	// closed is set when no further streams are accepted, and ended when those accepted
+	// before have ended and no further ones are opened.
+	closed, ended bool
 	// generation is the generation of the credentials with which the links were dialed.
 	// After Listen only Tick uses it.
 	generation uint64
@@ -146,7 +148,7 @@
 func (t *Transport) link(peer Peer) (*link, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.closed {
+	if t.ended {
 		return nil, fault.New(fault.KindStopped, "node %s is stopping", t.ID)
 	}
 	if t.links == nil {
@@ -268,6 +270,9 @@
 		linger(ctx)
 	case <-ctx.Done():
 	}
+	t.mu.Lock()
+	t.ended = true
+	t.mu.Unlock()
 	for _, l := range t.snapshot() {
 		l.close(codeStopped, "node stopped")
 	}
--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -195,6 +195,35 @@
 	}
 }
 
+// Guards against a shutdown that refuses the calls of a request which was accepted
+// before.
+func TestAcceptedRequestMayCallDuringClose(t *testing.T) {
+	a := authority(t)
+	next := listen(t, "next", credentials(t, a), calls(echo))
+	near := listen(t, "near", credentials(t, a), nil)
+	started, proceed := make(chan struct{}), make(chan struct{})
+	far := &Transport{ID: "far", Credentials: credentials(t, a), MaxBody: 1 << 20}
+	far.Calls = calls(func(ctx context.Context, r call.Request) (*call.Answer, error) {
+		close(started)
+		<-proceed
+		return far.Call(ctx, peerOf(next), r)
+	})
+	start(t, far)
+	go func() {
+		<-started
+		go func() { _ = far.Close(context.Background()) }()
+		for closed := false; !closed; time.Sleep(time.Millisecond) {
+			far.mu.Lock()
+			closed = far.closed
+			far.mu.Unlock()
+		}
+		close(proceed)
+	}()
+	got, err := exchange(near, far, []byte("body"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "body")
+}
+
 // Guards against a canceled request that keeps running at the remote node.
 func TestCancelReachesTheFarNode(t *testing.T) {
 	a := authority(t)
