daemon: accept calls of the own server until it has finished

Requests of callers and of other nodes were ended alike, with most of their deadline and of the node's time to stop left.

The node keeps accepting until its server has no request, which it does not get any more; the stop is bounded as before. Callers are told to leave from the first moment, as before.

TestServerMakesCallsDuringStop failed before, through the entry node and from a far node: 502 instead of 200.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -99,6 +99,7 @@
 	n.telemetry.assemble(n)
 	n.callers.Calls, n.callers.Rules, n.callers.Limits.Body = n, &n.config, n.MaxBody
 	n.callers.Panicked, n.transport.Panicked = n.panicked, n.panicked
+	n.callers.Needed = n.serverProxy.running
 	n.announceServer.Handler = n.handleAnnounce
 	return n.operators.assemble(n)
 }
@@ -243,7 +244,8 @@
 
 // Stop stops the node gracefully, so that no request is lost: other nodes are notified
 // first, then the shards are handed over, callers are drained, and requests in flight
-// finish.
+// finish. Callers are accepted until the backend server beside the node has finished,
+// because it may make calls to answer its requests.
 func (n *Node) Stop(ctx context.Context) {
 	n.Log.WithField("node", n.ID).Info("node stopping")
 	n.serverProxy.stopping.Store(true)
--- a/internal/daemon/server_proxy.go
+++ b/internal/daemon/server_proxy.go
@@ -111,6 +111,13 @@
 	return load
 }
 
+// running reports whether the server may run a request. Once it is false after the
+// node has begun to stop, it stays false.
+func (p *serverProxy) running() bool {
+	load := p.admission.load()
+	return load.InFlight+load.Queued > 0
+}
+
 // loadOf implements localLoader.
 func (p *serverProxy) loadOf(service string) (call.Load, bool) {
 	if server := p.local.get(); server.Addr == "" || server.Service != service {
--- a/internal/http1/drain.go
+++ b/internal/http1/drain.go
@@ -7,17 +7,24 @@
 
 // Drain stops the server gracefully. From now on responses have "Connection:
 // close". For the notice period new connections are still accepted, so that callers
-// can move to other nodes. Then Drain closes the listener and the idle connections
-// and waits until ctx ends for requests that are in flight or arriving. It returns the
-// number of connections that still have one.
+// can move to other nodes, and after it as long as Needed returns true. Then Drain
+// closes the listener and the idle connections and waits until ctx ends for requests
+// that are in flight or arriving. It returns the number of connections that still have
+// one.
 func (s *Server) Drain(ctx context.Context, notice time.Duration) int {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
 	wait(ctx, notice)
-	_ = s.listener.Close()
 	poll := time.NewTicker(20 * time.Millisecond)
 	defer poll.Stop()
+	for s.Needed != nil && s.Needed() && ctx.Err() == nil {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+		}
+	}
+	_ = s.listener.Close()
 	for {
 		left := s.closeIdle()
 		if left == 0 {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -87,6 +87,9 @@
 	// Cut is called when a connection has ended with requests that were not answered, or
 	// with a part of a request; it may be nil.
 	Cut func(c Cut)
+	// Needed reports during a drain whether new requests may still depend on this
+	// server: those of a process that makes them to answer its own. It may be nil.
+	Needed func() bool
 	// StallTimeout is the maximum time without progress of a write; zero means 30 s.
 	StallTimeout time.Duration
 
