daemon: keep a slow request open beside its second send

A lookup that its server answers late was broken off and begun again: one that takes over a second and 20 times as long as usual, while the server answers others, was taken for one on a silent connection.

The first send now stays open beside the second, and the first answer counts; the other one is canceled. If both fail, the error is that of the first, as the second may not have reached the server.

TestSlowRequestIsNotBrokenOff failed before: "the first send was broken off". TestSilentConnectionToTheServer, with a connection that is silent for good, passes as before.

--- a/internal/daemon/server_proxy.go
+++ b/internal/daemon/server_proxy.go
@@ -166,38 +166,69 @@
 }
 
 // send sends the request. An idempotent request that gets no answer, although the
-// server answers others or the connection was idle before, is sent once more on a new
-// connection: it may be the first connection that is silent, not the server.
+// server answers others or the connection was idle before, is also sent on a new
+// connection: it may be the first connection that is silent, not the server. The first
+// good answer counts.
 func (p *serverProxy) send(ctx context.Context, addr string, r call.Request) (*call.Answer, error) {
 	if !r.Idempotent {
 		return p.client.Do(ctx, addr, r)
 	}
-	first, cancel := context.WithCancelCause(ctx)
+	firstCtx, cancelFirst := context.WithCancel(ctx)
+	secondCtx, cancelSecond := context.WithCancel(ctx)
 	before := p.completed.Load()
 	var idle atomic.Int64
-	first = httptrace.WithClientTrace(first, &httptrace.ClientTrace{
+	// answered is set by the send whose answer counts; the other one is canceled.
+	var answered atomic.Bool
+	firstCtx = httptrace.WithClientTrace(firstCtx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { idle.Store(int64(info.IdleTime)) },
 	})
+	second := make(chan sendResult, 1)
 	timer := time.AfterFunc(p.stallTimeout(), func() {
-		if p.completed.Load() > before || time.Duration(idle.Load()) >= suspectIdle {
-			cancel(errSilent)
+		if p.completed.Load() == before && time.Duration(idle.Load()) < suspectIdle {
+			second <- sendResult{err: errSilent}
+			return
 		}
+		p.Log.WithField("server", addr).WithField("id", r.ID).Warn("connection to backend server does not respond; sending on a new one too")
+		// Other idle connections may be silent too.
+		p.client.CloseIdle()
+		answer, err := p.client.Do(secondCtx, addr, r)
+		if err == nil && answered.CompareAndSwap(false, true) {
+			cancelFirst()
+		}
+		second <- sendResult{answer, err}
 	})
-	answer, err := p.client.Do(first, addr, r)
-	timer.Stop()
-	if err == nil {
-		answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() { cancel(nil) }}
+	answer, err := p.client.Do(firstCtx, addr, r)
+	if err == nil && answered.CompareAndSwap(false, true) {
+		cancelSecond()
+		if !timer.Stop() {
+			go func() { (<-second).discard() }()
+		}
+		answer.Body = &releasingBody{ReadCloser: answer.Body, release: cancelFirst}
 		return answer, nil
 	}
-	wasSilent := context.Cause(first) == errSilent
-	cancel(nil)
-	if !wasSilent || ctx.Err() != nil {
-		return nil, err
+	sendResult{answer, err}.discard()
+	cancelFirst()
+	if !timer.Stop() {
+		if other := <-second; other.err == nil {
+			other.answer.Body = &releasingBody{ReadCloser: other.answer.Body, release: cancelSecond}
+			return other.answer, nil
+		}
+	}
+	cancelSecond()
+	return nil, err
+}
+
+// sendResult is the result of one send to the server.
+type sendResult struct {
+	answer *call.Answer
+	err    error
+}
+
+// discard closes an answer that is not used.
+func (r sendResult) discard() {
+	if r.err == nil {
+		_ = r.answer.Body.Close()
 	}
-	p.Log.WithField("server", addr).WithField("id", r.ID).Warn("connection to backend server does not respond; sending again on a new one")
-	// Other idle connections may be silent too.
-	p.client.CloseIdle()
-	return p.client.Do(ctx, addr, r)
 }
 
 const (
--- a/internal/daemon/silent_connection_test.go
+++ b/internal/daemon/silent_connection_test.go
@@ -48,6 +48,42 @@
 	assert.Assert(t, path.Dropped() > 0, "nothing was silenced")
 }
 
+// Guards against a slow request that is broken off and begun again because its
+// connection is taken for silent.
+func TestSlowRequestIsNotBrokenOff(t *testing.T) {
+	c := startCluster(t, 1)
+	assert.Equal(t, c.get(t, 0, "before"), http.StatusOK)
+	answered := make(chan error, 1)
+	go func() {
+		_, _, err := c.call(context.Background(), 0, http.MethodGet, "/stock/item?delay=1500", nil, nil)
+		answered <- err
+	}()
+	slow := func() (runs []server.Run) {
+		for _, run := range c.servers[0].Journal.Runs() {
+			if run.URI == "/stock/item?delay=1500" {
+				runs = append(runs, run)
+			}
+		}
+		return runs
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(slow()) == 0 {
+			return poll.Continue("not running")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	assert.Equal(t, c.get(t, 0, "beside"), http.StatusOK)
+	assert.NilError(t, <-answered)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if run := slow()[0]; !run.Ended && !run.Canceled {
+			return poll.Continue("still running")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	assert.Equal(t, len(slow()), 2, "the request was not sent on a second connection")
+	assert.Assert(t, !slow()[0].Canceled, "the first send was broken off")
+}
+
 // freeTCP returns a loopback address without a listener.
 func freeTCP(t *testing.T) string {
 	t.Helper()
