--- a/internal/owner/release_test.go
+++ b/internal/owner/release_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/once"
 )
@@ -21,6 +23,8 @@
 		moves func(owner *testNode, move func())
 		// resend also resends the key after its first answer.
 		resend bool
+		// delay is that of the settlement; zero means 20 ms.
+		delay time.Duration
 	}{
 		"pair changes before the claim is confirmed": {moves: func(owner *testNode, move func()) {
 			owner.afterDelivery = func(kind string) {
@@ -35,6 +39,13 @@
 				return nil, fault.New(fault.KindUnreachable, "no connection").WithOutcome(fault.Refused)
 			}
 		}},
+		"settlement after more than a second": {delay: 1200 * time.Millisecond, moves: func(owner *testNode, move func()) {
+			owner.afterDelivery = func(kind string) {
+				if kind == KindClaim {
+					move()
+				}
+			}
+		}},
 		"resend after the hand-over": {resend: true, moves: func(owner *testNode, move func()) {
 			owner.next = func(_ context.Context, r call.Request) (*call.Answer, error) {
 				move()
@@ -55,7 +66,7 @@
 			tc.moves(owner, move)
 			owner.beforeDelivery = func(kind string) {
 				if kind == KindSettle {
-					time.Sleep(20 * time.Millisecond) // simulate a slow link
+					time.Sleep(max(tc.delay, 20*time.Millisecond)) // simulate a slow link
 				}
 			}
 			key := otherKeyOf(s)
@@ -96,3 +107,61 @@
 	assert.Equal(t, moves, 2)
 	assert.Equal(t, c.runs(key), 1)
 }
+
+// TestRefusalByOwnerIsNotFinal guards against the refusal of a new key whose owner
+// cannot run it yet, although the deadline allows another try.
+func TestRefusalByOwnerIsNotFinal(t *testing.T) {
+	c := newCluster(t, "a1", "b1", "c1")
+	c.nodes["a1"].expect(t, "", request("k"))
+	s, owner, _, third := c.pair(t, "k")
+	c.waitIdle()
+	owner.dropKind.Store(KindClaim)
+	time.AfterFunc(50*time.Millisecond, func() { owner.dropKind.Store("") })
+	key := otherKeyOf(s)
+	_, _, err := third.send(t, request(key))
+	assert.NilError(t, err)
+	assert.Equal(t, c.runs(key), 1)
+}
+
+// TestSlowHandOverIsNotGivenUp guards against a stopping owner that keeps shards,
+// whose keys are then refused, although its hand-over makes progress.
+func TestSlowHandOverIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a1", "b1", "c1")
+		owner := c.nodes["a1"]
+		owner.beforeDelivery = func(kind string) {
+			if kind == KindTransfer {
+				time.Sleep(700 * time.Millisecond)
+			}
+		}
+		_, err := owner.load(t.Context(), "orders", time.Time{})
+		assert.NilError(t, err)
+		c.setStatus(owner.Records.Self, once.Leaving)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		for _, id := range []string{"b1", "c1"} {
+			go func() {
+				for ; ctx.Err() == nil; clock.Sleep(ctx, time.Second) {
+					_, _ = c.nodes[id].load(ctx, "orders", time.Time{})
+					c.nodes[id].Repair(ctx)
+				}
+			}()
+		}
+		started := time.Now()
+		assert.NilError(t, owner.HandOver(ctx))
+		assert.Assert(t, time.Since(started) > handOverStall, "the hand-over took only %v", time.Since(started))
+	})
+}
+
+// TestHandOverEndsWithoutProgress guards against a stop that waits for a table service
+// that is down.
+func TestHandOverEndsWithoutProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a1", "b1", "c1")
+		c.nodes["a1"].expect(t, "", request("k"))
+		c.table.set(true, false)
+		started := time.Now()
+		assert.ErrorContains(t, c.nodes["a1"].HandOver(t.Context()), "still assigned")
+		assert.Assert(t, time.Since(started) < 2*handOverStall)
+	})
+}
