--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/vanillasail/vanillasail/internal/standin/endless"
 	"github.com/vanillasail/vanillasail/internal/tcp"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
@@ -26,35 +27,13 @@
 	dripInterval    = 5 * time.Millisecond
 )
 
-// endlessServer answers the first request with bytes without end.
-type endlessServer struct {
-	// first is sent at once, text again and again.
-	first, text string
-	// drip makes the server send text byte by byte.
-	drip bool
-
-	sent atomic.Int64
-	// closed is closed when the caller has closed the connection.
-	closed chan struct{}
-}
-
-func (s *endlessServer) start(t *testing.T) (addr string) {
-	s.closed = make(chan struct{})
-	return startRawServer(t, func(c net.Conn) {
-		_ = c.(*net.TCPConn).SetWriteBuffer(16 << 10)
-		defer close(s.closed)
-		_, err := io.WriteString(c, s.first)
-		text := strings.Repeat(s.text, max(4096/len(s.text), 1))
-		for i := 0; err == nil; i++ {
-			part := text
-			if s.drip {
-				part = text[i%len(text):][:1]
-				time.Sleep(dripInterval)
-			}
-			_, err = io.WriteString(c, part)
-			s.sent.Add(int64(len(part)))
-		}
-	})
+// startEndless starts a server that is stopped at the end of the test.
+func startEndless(t *testing.T, s *endless.Server) (addr string) {
+	t.Helper()
+	addr, err := s.Start()
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	return addr
 }
 
 // endlessDoors are the ways to read an answer to its end.
@@ -122,21 +101,21 @@
 		"line behind skipped":   {skipped + "Content-Length: 0\r\n\r\n" + sealed + "X: ", "x", "pool"},
 	} {
 		for door := range strings.FieldsSeq(c.doors) {
-			for speed, drip := range map[string]bool{"fast": false, "drip": true} {
+			for speed, drip := range map[string]time.Duration{"fast": 0, "drip": dripInterval} {
 				t.Run(name+"/"+door+"/"+speed, func(t *testing.T) {
 					t.Parallel()
-					server := endlessServer{first: c.first, text: c.text, drip: drip}
+					server := &endless.Server{First: c.first, Text: c.text, Drip: drip}
 					ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 					defer cancel()
-					err := endlessDoors[door](ctx, server.start(t))
+					err := endlessDoors[door](ctx, startEndless(t, server))
 					assert.NilError(t, ctx.Err())
 					assert.Assert(t, err != nil)
 					if door != "probe" {
 						assert.Assert(t, fault.Is(err, fault.KindCutShort) || fault.Is(err, fault.KindServerLost), "%v", err)
 						assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
 					}
-					<-server.closed
-					assert.Assert(t, server.sent.Load() < endlessSent, "%d bytes were sent", server.sent.Load())
+					<-server.Closed()
+					assert.Assert(t, server.Sent() < endlessSent, "%d bytes were sent", server.Sent())
 				})
 			}
 		}
@@ -182,29 +161,29 @@
 // belong to the next answer.
 func TestExcessBytesEndTheConnection(t *testing.T) {
 	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 1\r\n\r\na"
-	for speed, drip := range map[string]bool{"fast": false, "drip": true} {
+	for speed, drip := range map[string]time.Duration{"fast": 0, "drip": dripInterval} {
 		t.Run("client/"+speed, func(t *testing.T) {
-			server := endlessServer{first: answer, text: "x", drip: drip}
+			server := &endless.Server{First: answer, Text: "x", Drip: drip}
 			var c Client
-			got, err := c.Do(t.Context(), server.start(t), request(http.MethodPost))
+			got, err := c.Do(t.Context(), startEndless(t, server), request(http.MethodPost))
 			assert.NilError(t, err)
 			body, err := io.ReadAll(got.Body)
 			assert.NilError(t, err)
 			assert.Equal(t, string(body), "a")
-			<-server.closed
-			assert.Assert(t, server.sent.Load() < endlessSent)
+			<-server.Closed()
+			assert.Assert(t, server.Sent() < endlessSent)
 		})
 		t.Run("pool/"+speed, func(t *testing.T) {
-			server := endlessServer{first: answer, text: "x", drip: drip}
+			server := &endless.Server{First: answer, Text: "x", Drip: drip}
 			p := Pool{HeaderNames: testHeaderNames}
 			defer p.Close()
-			addr := server.start(t)
+			addr := startEndless(t, server)
 			got, err := p.Do(t.Context(), addr, request(http.MethodPost))
 			assert.NilError(t, err)
 			assert.Equal(t, string(got.Buffered), "a")
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
 				select {
-				case <-server.closed:
+				case <-server.Closed():
 					return poll.Success()
 				default:
 				}
@@ -213,7 +192,7 @@
 				p.put(next)
 				return poll.Continue("the connection is open")
 			}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
-			assert.Assert(t, server.sent.Load() < endlessSent)
+			assert.Assert(t, server.Sent() < endlessSent)
 		})
 	}
 }
--- a/internal/daemon/endless_test.go
+++ b/internal/daemon/endless_test.go
@@ -1,16 +1,14 @@
 package daemon
 
 import (
-	"io"
-	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/vanillasail/vanillasail/internal/standin/endless"
 	"github.com/vanillasail/vanillasail/internal/standin/server"
 	"github.com/vanillasail/vanillasail/pkg/outlier"
 )
@@ -19,18 +17,15 @@
 // getting requests, or makes callers wait up to their deadline or believe that their
 // requests had not run.
 func TestEndlessAnswersEjectTheServer(t *testing.T) {
-	for name, c := range map[string]struct {
-		text  string
-		pause time.Duration
-	}{
-		"fast":  {strings.Repeat("x", 4096), 0},
-		"drips": {"x", 20 * time.Millisecond},
-	} {
+	for name, drip := range map[string]time.Duration{"fast": 0, "drips": 20 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			cluster := startCluster(t, 3)
 			cluster.servers[0].Kill()
-			addr := startEndlessServer(t, c.text, c.pause)
+			troubled := &endless.Server{First: "HTTP/1.1 200 OK\r\nX: ", Text: "x", Drip: drip}
+			addr, err := troubled.Start()
+			assert.NilError(t, err)
+			t.Cleanup(troubled.Stop)
 			s := &server.Server{Service: "stock", Slots: 12, Announce: cluster.nodes[0].AnnounceAddr(), Advertise: addr}
 			assert.NilError(t, s.Start("127.0.0.1:0"))
 			t.Cleanup(s.Kill)
@@ -58,24 +53,3 @@
 		})
 	}
 }
-
-// startEndlessServer answers each request with a header that does not end.
-func startEndlessServer(t *testing.T, text string, pause time.Duration) (addr string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
-		defer c.Close()
-		_, err := c.Read(make([]byte, 4096))
-		for part := "HTTP/1.1 200 OK\r\nX: "; err == nil; part = text {
-			_, err = io.WriteString(c, part)
-			time.Sleep(pause)
-		}
-	}
-	go func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
--- a/internal/mesh/endless_test.go
+++ b/internal/mesh/endless_test.go
@@ -1,10 +1,7 @@
 package mesh
 
 import (
-	"io"
-	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +9,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/backend"
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/standin/endless"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
 )
@@ -19,16 +17,16 @@
 // Guards against a server that sends bytes without end which are no answer, and keeps its
 // standing, a slot or the requests of other callers.
 func TestEndlessAnswersCountAgainstTheServer(t *testing.T) {
-	for name, c := range map[string]struct {
-		text  string
-		pause time.Duration
-	}{
-		"fast":  {strings.Repeat("x", 4096), 0},
-		"drips": {"x", 20 * time.Millisecond},
-	} {
+	for name, drip := range map[string]time.Duration{"fast": 0, "drips": 20 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			addr := startEndlessServer(t, "HTTP/1.1 200 OK\r\nX: ", c.text, c.pause)
+			server := &endless.Server{
+				First: "HTTP/1.1 200 OK\r\nX: ", Text: "x", Drip: drip,
+				Path: "/endless", Answer: "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n",
+			}
+			addr, err := server.Start()
+			assert.NilError(t, err)
+			t.Cleanup(server.Stop)
 			p := newServerProxy(2)
 			p.crash.Options, p.pool.HeaderNames = p.Options, backend.HeaderNames{ID: "Id"}
 			p.crash.notify = func(quarantine.Incident) {}
@@ -37,13 +35,13 @@
 				ID: "a", Service: "s", Route: "r", Method: http.MethodPost, URI: "/endless", Host: "h",
 				Deadline: time.Now().Add(time.Minute), Objective: time.Now().Add(time.Minute),
 			}
-			endless := make(chan sendResult, 1)
-			go func() { endless <- p.serve(t.Context(), r, 0) }()
+			results := make(chan sendResult, 1)
+			go func() { results <- p.serve(t.Context(), r, 0) }()
 			other := r
 			other.ID, other.URI = "b", "/"
 			assert.Assert(t, p.serve(t.Context(), other, 0).err == nil)
 
-			result := <-endless
+			result := <-results
 			assert.Equal(t, result.err.Kind, fault.KindCutShort)
 			assert.Equal(t, result.err.Outcome, fault.Unknown)
 			assert.Assert(t, result.ran)
@@ -54,29 +52,3 @@
 		})
 	}
 }
-
-// startEndlessServer answers requests for /endless without end.
-func startEndlessServer(t *testing.T, first, text string, pause time.Duration) (addr string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
-		defer c.Close()
-		request := make([]byte, 4096)
-		n, err := c.Read(request)
-		if !strings.HasPrefix(string(request[:n]), "POST /endless ") {
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n")
-			return
-		}
-		for part := first; err == nil; part = text {
-			_, err = io.WriteString(c, part)
-			time.Sleep(pause)
-		}
-	}
-	go func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
