--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -46,9 +46,8 @@
 	// pending holds the remaining attempts for peers that do not have the newest
 	// entry.
 	pending map[string]int
-	// spreading holds the remaining attempts for other regions whose relays do not have
-	// the newest entry.
-	spreading map[string]int
+	// spreading holds the other regions whose relays do not have the newest entry.
+	spreading map[string]*spreadState
 	// published is the change number of the entry in the registry, zero before the
 	// first write; first is the position and time of that write.
 	published      uint64
@@ -98,11 +97,11 @@
 	}
 	a.mu.Lock()
 	if a.spreading == nil {
-		a.spreading = make(map[string]int)
+		a.spreading = make(map[string]*spreadState)
 	}
 	a.addPending(func(e roster.Entry) bool {
 		if relayed[e.Region] && !informed[e.Node] {
-			a.spreading[e.Region] = spreadAttempts
+			a.spreadLater(e.Region)
 		}
 		return !relayed[e.Region] && !informed[e.Node]
 	})
@@ -149,8 +148,11 @@
 	for name := range a.pending {
 		names = append(names, name)
 	}
-	for region := range a.spreading {
-		go a.spread(ctx, region)
+	for region, state := range a.spreading {
+		if !state.running {
+			state.running = true
+			go a.spread(ctx, region)
+		}
 	}
 	start := len(names)+len(a.spreading) > 0 && !a.retryScheduled
 	a.retryScheduled = a.retryScheduled || start
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -34,8 +34,13 @@
 	loads  map[string]*serverLoad
 	// down holds the nodes that cannot be reached.
 	down map[string]struct{}
+	// forgotten holds the starts of nodes that were removed, at most maxForgotten.
+	forgotten map[string]int64
 }
 
+// maxForgotten bounds the nodes that are remembered as forgotten.
+const maxForgotten = 4096
+
 // serverLoad is what this node has observed of one server.
 type serverLoad struct {
 	load       call.Load
@@ -155,6 +160,12 @@
 func (d *directory) remove(node string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if e, ok := d.roster.Get(node); ok {
+		if len(d.forgotten) >= maxForgotten || d.forgotten == nil {
+			d.forgotten = make(map[string]int64)
+		}
+		d.forgotten[node] = e.Start
+	}
 	d.roster.Remove(node)
 	d.clearLoad(node)
 }
--- a/internal/mesh/entry_relay.go
+++ b/internal/mesh/entry_relay.go
@@ -20,9 +20,10 @@
 	mu sync.Mutex
 	// waiting holds the names of the nodes whose entries are to be sent, by receiver.
 	waiting map[string]map[string]bool
-	// scheduled is set while a pass is due, and passed is the time of the last one.
-	scheduled bool
-	passed    time.Time
+	// timer runs at due, when the next pass is; due is zero if none is. passed is the time
+	// of the last one.
+	timer       *time.Timer
+	due, passed time.Time
 }
 
 // add passes an entry on to all nodes of this region.
@@ -48,19 +49,23 @@
 	r.waiting[to][node] = true
 }
 
-// schedule passes on what is waiting after a delay. The caller holds r.mu.
+// schedule passes on what is waiting after a delay at the latest. The caller holds r.mu.
 func (r *entryRelay) schedule(ctx context.Context, delay time.Duration) {
-	if r.scheduled {
+	due := time.Now().Add(max(delay, 0))
+	if !r.due.IsZero() && !due.Before(r.due) {
 		return
 	}
-	r.scheduled = true
-	time.AfterFunc(max(delay, 0), func() { r.pass(ctx) })
+	r.due = due
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	r.timer = time.AfterFunc(time.Until(due), func() { r.pass(ctx) })
 }
 
 func (r *entryRelay) pass(ctx context.Context) {
 	r.mu.Lock()
 	waiting := r.waiting
-	r.waiting, r.scheduled, r.passed = nil, false, time.Now()
+	r.waiting, r.due, r.passed = nil, time.Time{}, time.Now()
 	r.mu.Unlock()
 	for to, names := range waiting {
 		go r.send(ctx, to, names)
@@ -79,10 +84,7 @@
 			list = append(list, e)
 		}
 	}
-	head, err := encode(message{Entries: list, Version: r.follower.version()})
-	if err == nil {
-		_, err = r.request(ctx, to, head)
-	}
+	err := r.sendEntries(ctx, to, list)
 	if err == nil || ctx.Err() != nil {
 		return
 	}
@@ -94,3 +96,21 @@
 	}
 	r.schedule(ctx, updateRetry)
 }
+
+func (r *entryRelay) sendEntries(ctx context.Context, to roster.Entry, list entries) error {
+	head, err := encode(message{Entries: list, Version: r.follower.version()})
+	if err != nil {
+		return err
+	}
+	reply, err := r.request(ctx, to, head)
+	if err != nil || reply.Fault == nil {
+		return err
+	}
+	// A node of an older version takes them one by one.
+	for _, e := range list {
+		if _, err := r.exchange(ctx, to, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -44,8 +44,8 @@
 	Entry roster.Entry `msgpack:"e"`
 	// Version is the configuration that the sender has.
 	Version uint64 `msgpack:"v"`
-	// PassOn asks a relay to pass the entry on to the nodes of its region, and Marks are
-	// those of the entries that the sender has of that region (roster.Marks).
+	// PassOn asks a relay to pass the entry on to the nodes of its region. Marks are those
+	// of the entries that the sender has of that region (roster.Marks), to be compared.
 	PassOn bool   `msgpack:"p,omitempty"`
 	Marks  []byte `msgpack:"m,omitempty"`
 	// LaterStart is set in a reply to a node whose name is known with a later start,
@@ -90,6 +90,8 @@
 	// those of its region that the sender of the update lacks.
 	PassedOn bool    `msgpack:"y,omitempty"`
 	Entries  entries `msgpack:"z,omitempty"`
+	// Unknown are those of the sender's marks that the relay does not know.
+	Unknown []byte `msgpack:"u,omitempty"`
 	// Version is the configuration that the node has.
 	Version uint64 `msgpack:"v,omitempty"`
 }
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -310,6 +310,8 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	limitChecked, summariesPooled := time.Now(), time.Now()
+	// Nodes that start together do not compare at the same time.
+	compared := time.Now().Add(-rand.N(compareInterval))
 	for {
 		select {
 		case now := <-tick.C:
@@ -317,6 +319,10 @@
 				summariesPooled = now
 				n.serverProxy.setPeerSummaries(n.directory.summaries())
 			}
+			if n.joined.Load() && now.Sub(compared) >= compareInterval {
+				compared = now
+				go n.announcer.compareEntries(n.runCtx)
+			}
 			n.callers.Tick()
 			prober{&n.announcer}.tick(n.runCtx, now)
 			if now.Sub(limitChecked) >= limitCheckInterval {
--- a/internal/mesh/peer_messages.go
+++ b/internal/mesh/peer_messages.go
@@ -70,9 +70,15 @@
 func (n *Node) updated(u nodeUpdate) response {
 	n.announcer.receive(n.runCtx, u)
 	reply := response{Update: n.announcer.updateReply(u)}
-	if u.PassOn && n.joined.Load() && !n.stopping.Load() {
+	if !n.joined.Load() || n.stopping.Load() {
+		return reply
+	}
+	if u.PassOn {
 		n.entryRelay.add(n.runCtx, u.Entry)
-		reply.PassedOn, reply.Entries = true, n.directory.lacking(n.Region, u.Marks)
+		reply.PassedOn = true
+	}
+	if u.PassOn || len(u.Marks) > 0 {
+		reply.Entries, reply.Unknown = n.directory.compare(u.Marks)
 	}
 	return reply
 }
--- a/internal/mesh/reachability.go
+++ b/internal/mesh/reachability.go
@@ -13,14 +13,23 @@
 	if _, known := d.roster.Get(node); !known {
 		return
 	}
-	if !d.loadOf(node).reach.Failed(now) {
+	if !d.exclude(node, now) {
 		return
 	}
+	d.Log.WithError(cause).WithField("node", node).WithField("out", len(d.down)).Warn("node cannot be reached")
+}
+
+// exclude excludes a node from requests until it answers a probe, and reports whether it
+// was not excluded before. The caller holds d.mu.
+func (d *directory) exclude(node string, now time.Time) bool {
+	if !d.loadOf(node).reach.Failed(now) {
+		return false
+	}
 	if d.down == nil {
 		d.down = make(map[string]struct{})
 	}
 	d.down[node] = struct{}{}
-	d.Log.WithError(cause).WithField("node", node).WithField("out", len(d.down)).Warn("node cannot be reached")
+	return true
 }
 
 // markReachable records an answer of a node.
@@ -38,6 +47,7 @@
 func (d *directory) messageReceived(node string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.forgotten, node)
 	if l := d.loads[node]; l != nil {
 		l.reach.ProbeNow(now)
 	}
--- a/pkg/roster/marks.go
+++ b/pkg/roster/marks.go
@@ -27,17 +27,41 @@
 	return marks
 }
 
-// Lacking returns the entries of a region that are not among the marks.
-func (r *Roster) Lacking(region string, marks []byte) []Entry {
-	known := make(map[uint32]bool, len(marks)/markSize)
-	for ; len(marks) >= markSize; marks = marks[markSize:] {
-		known[binary.LittleEndian.Uint32(marks)] = true
-	}
-	var lacking []Entry
+// Compare returns the entries of a region that are not among the marks of another node,
+// and those of the marks that are of no entry of the region.
+func (r *Roster) Compare(region string, marks []byte) (lacking []Entry, unknown []byte) {
+	others := split(marks)
 	for _, e := range r.entries {
-		if e.Region == region && !known[e.mark()] {
+		if e.Region != region {
+			continue
+		}
+		if mark := e.mark(); others[mark] {
+			delete(others, mark)
+		} else {
 			lacking = append(lacking, e)
 		}
 	}
-	return lacking
+	for mark := range others {
+		unknown = binary.LittleEndian.AppendUint32(unknown, mark)
+	}
+	return lacking, unknown
+}
+
+// Marked returns the entries of a region that have one of the marks.
+func (r *Roster) Marked(region string, marks []byte) (found []Entry) {
+	set := split(marks)
+	for _, e := range r.entries {
+		if e.Region == region && set[e.mark()] {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func split(marks []byte) map[uint32]bool {
+	set := make(map[uint32]bool, len(marks)/markSize)
+	for ; len(marks) >= markSize; marks = marks[markSize:] {
+		set[binary.LittleEndian.Uint32(marks)] = true
+	}
+	return set
 }
