mesh: accept calls of the own server until it has finished

What callers saw: a request that runs beside a stopping node failed with 500 if its server made a call more than 3 s after the stop had begun, though the deadline and the time of grace allowed the answer.

Cause: the node closes the address on which its server makes calls at the end of the notice to callers.

Change: callers are accepted until the server runs no request, as internal/daemon does; the stop is bounded as before, and the server gets no new requests.

--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -103,3 +103,10 @@
 	defer p.mu.Unlock()
 	return p.limiter.Limit.Current()
 }
+
+// running reports whether the server runs a request, for which it may make calls.
+func (p *serverProxy) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limiter.Running() > 0
+}
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -8,7 +8,8 @@
 )
 
 // Stop stops the node gracefully: other nodes are notified first, then callers are
-// drained, and requests in flight finish.
+// drained, and requests in flight finish. Callers are accepted until the backend server
+// beside the node has finished, because it may make calls to answer its requests.
 func (n *Node) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.Bounds.Grace-stopMargin)
 	defer cancel()
