mesh: refund exactly what a resend was charged

Any send that a server refused got a refund if its request had been resent, also one that was never charged. With a slow node (send 1 stays open), a refused free copy and a refused resend, the service called was refunded twice for one charge, so its nodes could send more than the rule BUDGET allows. A resend that reached no server, and a grant that no send used, stayed charged for a whole window.

Cause: the refund was not tied to a charge. It took the present mean of the calls, in the present cell of the window, and ended the wait of a resend with unknown calls whichever resend was refused.

Change: Windows.Take returns a Charge and Refund takes back just that, in its cell while it is in the window, never below zero. A send carries the charge of the grant that it uses. A send that reached no server gives the grant back, the next one uses it, and the end of the request refunds what is left. A reservation uses no grant, because its body has not been sent. While a grant is left, no other is taken. Calls that were not known and that a later run has charged already stay charged: too much, never too little.

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -48,6 +48,9 @@
 	// counts the sends that it has allowed.
 	resendGranted bool
 	resends       int
+	// grants holds the charges of allowed sends that have not been used, or whose sends
+	// reached no server. A reservation uses none.
+	grants []retry.Charge
 	// fallback is an answer with an error status, which is delivered if no later
 	// send is answered better.
 	fallback *call.Answer
@@ -59,7 +62,7 @@
 	if !d.isCall {
 		d.countRequest(d.request.Service, d.start)
 	}
-	defer d.open.cancelAll()
+	defer d.end()
 	for ctx.Err() == nil {
 		s, ok := d.next(ctx)
 		if !ok {
@@ -75,6 +78,15 @@
 	return d.finish(ctx)
 }
 
+// end ends the open sends and takes back the grants that are left.
+func (d *dispatch) end() {
+	d.open.cancelAll()
+	for _, c := range d.grants {
+		d.refundResend(c, false)
+	}
+	d.grants = nil
+}
+
 // next returns the result of the next send, or of an open one. ok is false when none is
 // left.
 func (d *dispatch) next(ctx context.Context) (s send, ok bool) {
@@ -102,6 +114,9 @@
 
 // begin runs a send and returns its result, or that of an open one.
 func (d *dispatch) begin(ctx context.Context, s send, run func(ctx context.Context) sendResult) (send, bool) {
+	if n := len(d.grants); n > 0 && !s.reserving {
+		s.charge, d.grants = d.grants[n-1], d.grants[:n-1]
+	}
 	if d.open.idle() {
 		s.result = run(ctx)
 		return s, true
@@ -183,6 +198,7 @@
 	switch {
 	case result.err.Kind == fault.KindHandedBack:
 		d.search.HandedBack(node)
+		d.giveBack(s.charge)
 		return nil, false
 	case result.unacknowledged:
 		d.unacknowledged++
@@ -190,14 +206,21 @@
 		d.serverReached(true)
 	case result.err.Kind == fault.KindShed:
 		d.serverReached(false)
-		if d.resends > 0 {
-			d.resendNotRun(d.request.Route)
-		}
+		d.refundResend(s.charge, true)
+	default:
+		d.giveBack(s.charge)
 	}
 	d.search.Failed(node)
 	return nil, false
 }
 
+// giveBack keeps the grant of a send that reached no server for the next one.
+func (d *dispatch) giveBack(c retry.Charge) {
+	if !c.IsZero() {
+		d.grants = append(d.grants, c)
+	}
+}
+
 // countCalls records the calls of a run that has answered.
 func (d *dispatch) countCalls(calls map[string]int) {
 	d.runAnswered(d.request.Route, calls)
@@ -270,13 +293,17 @@
 	return resendShare
 }
 
-// resend takes a resend within a share of the limit.
+// resend takes a resend within a share of the limit, unless a grant is left.
 func (d *dispatch) resend(share float64, now time.Time) bool {
-	if !d.takeResend(d.request, share, now) {
-		return false
+	if len(d.grants) > 0 {
+		return true
+	}
+	c, ok := d.takeResend(d.request, share, now)
+	if ok {
+		d.grants = append(d.grants, c)
+		d.resends++
 	}
-	d.resends++
-	return true
+	return ok
 }
 
 // keepFallback keeps an answer with an error status in case that no later send is
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -110,17 +110,18 @@
 	d.resendLimits().Request(service, now)
 }
 
-func (d *dispatcher) takeResend(r call.Request, share float64, now time.Time) bool {
+func (d *dispatcher) takeResend(r call.Request, share float64, now time.Time) (retry.Charge, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.resendLimits().Take(r.Service, r.Route, share, now)
 }
 
-// resendNotRun records that a server refused a resend.
-func (d *dispatcher) resendNotRun(route string) {
+// refundResend takes back what a resend was charged and has not used. arrived is set if a
+// server refused it.
+func (d *dispatcher) refundResend(c retry.Charge, arrived bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.resendLimits().NotRun(route, time.Now())
+	d.resendLimits().Refund(c, arrived, time.Now())
 }
 
 // runAnswered records the calls of a run.
--- a/internal/mesh/open_sends.go
+++ b/internal/mesh/open_sends.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/retry"
 )
 
 // send is one send of a request.
@@ -20,7 +21,9 @@
 	// reserving is set until a slot is reserved for the request, whose body has not been
 	// sent.
 	reserving bool
-	result    sendResult
+	// charge is that of the grant which the send uses; zero if it needs none.
+	charge retry.Charge
+	result sendResult
 }
 
 // discard releases what the result of a canceled send holds.
--- a/internal/mesh/open_sends_test.go
+++ b/internal/mesh/open_sends_test.go
@@ -175,3 +175,88 @@
 	}
 	assert.Equal(t, len(d.directory.down), 0)
 }
+
+// Guards against refunds of sends that were not charged, which let the called service
+// get more resends than its limit, and against charges for sends that reach no server.
+func TestRefundsAreThoseOfTheSend(t *testing.T) {
+	shed := sendResult{err: fault.New(fault.KindShed, "refused")}
+	unreachable := sendResult{err: fault.New(fault.KindUnreachable, "not sent").WithOutcome(fault.Refused)}
+	handedBack := sendResult{err: fault.New(fault.KindHandedBack, "no slot")}
+	for name, c := range map[string]struct {
+		resends     []sendResult // after a free copy was shed
+		usedOfOwner int
+	}{
+		"refused":    {[]sendResult{shed}, 1},
+		"not sent":   {[]sendResult{unreachable, handedBack}, 0},
+		"second one": {[]sendResult{handedBack, shed}, 1},
+		"not used":   {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatch(t)
+			d.attempts, d.Bounds.RetrySpan, d.Bounds.RetryFixed = 3, time.Hour, 100
+			for range 10 {
+				d.runAnswered("r", map[string]int{"called": 1})
+				d.runAnswered("probe", nil)
+			}
+			evaluate := func(s send) {
+				_, done := d.evaluate(t.Context(), s)
+				assert.Assert(t, !done)
+			}
+			evaluate(sendTo("n1", unacknowledged(func(context.Context) sendResult { return shed })))
+			late, ok := d.open.next(t.Context())
+			assert.Assert(t, ok)
+			evaluate(sendTo("n2", shed))
+			assert.Assert(t, !d.final(t.Context()))
+			evaluate(late)
+			for _, result := range c.resends {
+				s, ok := d.begin(t.Context(), sendTo("n3", sendResult{}), func(context.Context) sendResult { return result })
+				assert.Assert(t, ok)
+				evaluate(s)
+			}
+			d.end()
+			assert.Equal(t, resendsLeft(d, "called"), resendsLeft(d, "unused"))
+			assert.Equal(t, resendsLeft(d, "s"), resendsLeft(d, "unused too")-c.usedOfOwner)
+		})
+	}
+}
+
+// Guards against a charge that stays with a reservation which was given up.
+func TestCanceledReservationKeepsNoCharge(t *testing.T) {
+	shed := sendResult{err: fault.New(fault.KindShed, "refused")}
+	d := newDispatch(t)
+	d.attempts, d.Bounds.RetrySpan, d.Bounds.RetryFixed = 3, time.Hour, 100
+	for range 10 {
+		d.runAnswered("probe", nil)
+	}
+	reserved := make(chan struct{})
+	_, done := d.evaluate(t.Context(), sendTo("n1", unacknowledged(func(context.Context) sendResult {
+		<-reserved
+		return shed
+	})))
+	assert.Assert(t, !done)
+	_, done = d.evaluate(t.Context(), sendTo("n2", shed))
+	assert.Assert(t, !done && !d.final(t.Context()))
+	reservation := sendTo("n3", sendResult{})
+	reservation.number, reservation.reserving = 3, true
+	late, ok := d.begin(t.Context(), reservation, func(ctx context.Context) sendResult {
+		close(reserved)
+		<-ctx.Done()
+		return sendResult{err: fault.New(fault.KindUnreachable, "canceled").WithOutcome(fault.Refused)}
+	})
+	assert.Assert(t, ok && late.number == 1)
+	_, done = d.evaluate(t.Context(), late)
+	assert.Assert(t, !done)
+	d.end()
+	assert.Equal(t, resendsLeft(d, "s"), resendsLeft(d, "unused"))
+}
+
+// resendsLeft takes all resends that a service has left.
+func resendsLeft(d *dispatch, service string) int {
+	n := 0
+	for {
+		if _, ok := d.takeResend(call.Request{Service: service, Route: "probe"}, 1, time.Now()); !ok {
+			return n
+		}
+		n++
+	}
+}
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -19,8 +19,10 @@
 	// requests.
 	Fixed float64
 
-	cells     [windowCells]cell
-	head      int
+	cells [windowCells]cell
+	// number is that of the present cell, counted from the first one. It is at this
+	// number modulo windowCells.
+	number    uint64
 	cellStart time.Time
 }
 
@@ -33,7 +35,7 @@
 // Request counts a request.
 func (w *Window) Request(now time.Time) {
 	w.advance(now)
-	w.cells[w.head].requests++
+	w.cells[w.number%windowCells].requests++
 }
 
 // Take reports whether a request may be resent within a share of the limit, and
@@ -57,10 +59,20 @@
 	return resends+n <= share*(w.Ratio*requests+w.Fixed)
 }
 
-// charge counts n resends.
-func (w *Window) charge(now time.Time, n float64) {
+// charge counts n resends and returns the number of their cell.
+func (w *Window) charge(now time.Time, n float64) uint64 {
 	w.advance(now)
-	w.cells[w.head].resends += n
+	w.cells[w.number%windowCells].resends += n
+	return w.number
+}
+
+// refund takes back n resends of a cell that may have left the window.
+func (w *Window) refund(now time.Time, number uint64, n float64) {
+	w.advance(now)
+	if w.number-number < windowCells {
+		c := &w.cells[number%windowCells]
+		c.resends = max(0, c.resends-n)
+	}
 }
 
 // advance clears the cells that have left the window.
@@ -71,11 +83,12 @@
 	}
 	if w.cellStart.IsZero() || now.Sub(w.cellStart) > 2*w.Span {
 		w.cells, w.cellStart = [windowCells]cell{}, now
+		w.number += windowCells
 		return
 	}
 	for now.Sub(w.cellStart) >= width {
 		w.cellStart = w.cellStart.Add(width)
-		w.head = (w.head + 1) % windowCells
-		w.cells[w.head] = cell{}
+		w.number++
+		w.cells[w.number%windowCells] = cell{}
 	}
 }
--- a/pkg/retry/windows.go
+++ b/pkg/retry/windows.go
@@ -65,42 +65,75 @@
 	}
 }
 
+// Charge is what one resend was charged. It is immutable; the zero value is nothing.
+type Charge struct {
+	route *callsPerRun
+	// unknown is set if the calls are charged by a later run.
+	unknown bool
+	resend  windowCharge
+	calls   []windowCharge
+}
+
+// windowCharge is a part of a charge, in one cell of the window of one service.
+type windowCharge struct {
+	service string
+	cell    uint64
+	resends float64
+}
+
+// IsZero reports whether nothing was charged.
+func (c Charge) IsZero() bool { return c.route == nil }
+
 // Take reports whether a request may be resent within a share of the limits of its
-// service and of those that it calls, and counts the resend if so.
-func (w *Windows) Take(service, route string, share float64, now time.Time) bool {
+// service and of those that it calls, and charges the resend if so.
+func (w *Windows) Take(service, route string, share float64, now time.Time) (Charge, bool) {
 	c := w.route(route)
 	if c.runs < minCallSamples {
-		ok := w.window(service).Take(now, min(share, unknownCallsShare))
-		if ok {
-			c.uncharged++
+		if !w.window(service).allows(now, min(share, unknownCallsShare), 1) {
+			return Charge{}, false
 		}
-		return ok
+		c.uncharged++
+		return Charge{route: c, unknown: true, resend: w.charge(service, 1, now)}, true
 	}
 	for called, n := range c.means {
 		if !w.window(called).allows(now, share, n) {
-			return false
+			return Charge{}, false
 		}
 	}
-	if !w.window(service).Take(now, share) {
-		return false
+	if !w.window(service).allows(now, share, 1) {
+		return Charge{}, false
 	}
+	charge := Charge{route: c, resend: w.charge(service, 1, now), calls: make([]windowCharge, 0, len(c.means))}
 	for called, n := range c.means {
-		w.window(called).charge(now, n)
+		charge.calls = append(charge.calls, w.charge(called, n, now))
 	}
-	return true
+	return charge, true
 }
 
-// NotRun takes back what a resend was charged for its calls, because its server refused
-// it.
-func (w *Windows) NotRun(route string, now time.Time) {
-	c := w.route(route)
-	if c.uncharged > 0 {
-		c.uncharged--
+// Refund takes back a charge, at most once: that for the calls if the resend arrived and
+// its server refused it, all of it otherwise. Calls that were not known stay charged if
+// a later run has charged them already.
+func (w *Windows) Refund(c Charge, arrived bool, now time.Time) {
+	if c.IsZero() {
 		return
 	}
-	for called, n := range c.means {
-		w.window(called).charge(now, -n)
+	if c.unknown && c.route.uncharged > 0 {
+		c.route.uncharged--
+	}
+	for _, call := range c.calls {
+		w.refund(call, now)
 	}
+	if !arrived {
+		w.refund(c.resend, now)
+	}
+}
+
+func (w *Windows) charge(service string, n float64, now time.Time) windowCharge {
+	return windowCharge{service: service, cell: w.window(service).charge(now, n), resends: n}
+}
+
+func (w *Windows) refund(c windowCharge, now time.Time) {
+	w.window(c.service).refund(now, c.cell, c.resends)
 }
 
 func (w *Windows) route(name string) *callsPerRun {
