--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -128,7 +128,6 @@
 	n.callers.Memory = &n.bodies
 	n.callers.Repeatable = n.repeatable
 	n.callers.Cut = n.connectionCut
-	n.callers.Needed = n.serverProxy.running
 	n.callers.Panicked, n.peerServer.Panicked = n.panicked, n.panicked
 	n.callers.Rejected = func(id string, err *fault.Error) { _ = n.logRejected(id, err) }
 }
--- a/internal/mesh/stop.go
+++ b/internal/mesh/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/pkg/roster"
@@ -9,7 +10,8 @@
 
 // Stop stops the node gracefully: other nodes are notified first, then callers are
 // drained, and requests in flight finish. Callers are accepted until the backend server
-// beside the node has finished, because it may make calls to answer its requests.
+// beside the node has finished, because it may make calls to answer its requests, but at
+// most until drainNotice before the end, so that requests accepted last can finish too.
 func (n *Node) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.Bounds.Grace-stopMargin)
 	defer cancel()
@@ -17,6 +19,8 @@
 	n.stopping.Store(true)
 	n.follower.releaseFollowers()
 	n.announcer.update(n.runCtx, func(e *roster.Entry) { e.Stopping = true })
+	end, _ := ctx.Deadline()
+	n.callers.Needed = func() bool { return time.Until(end) > drainNotice && n.serverProxy.running() }
 	left := n.callers.Drain(ctx, drainNotice)
 	n.awaitPeers(ctx)
 	n.Log.WithField("node", n.Node()).WithField("left", left).WithField("peers", n.inFlight.Load()).Info("node stopped")
