Review case 4: use an outage of the store and a planned restart

Cause: the kill and the refusing store were two disruptions; one is enough. Change: the store is down while the node is restarted with SIGTERM.

--- a/review/platform/trial/case_leave.go
+++ b/review/platform/trial/case_leave.go
@@ -11,16 +11,16 @@
 
 const (
 	// beatDelay is how late the last heartbeat before the deregistration arrives.
-	beatDelay = 7 * time.Second
-	// storeRefusal is how long the store turns one machine away.
-	storeRefusal = 2 * time.Second
+	beatDelay = 8 * time.Second
+	// storeOutage is how long the store is down.
+	storeOutage = 4500 * time.Millisecond
 	// servingTime is how long the server goes on to serve after its deregistration.
 	servingTime = 12 * time.Second
 )
 
-// leave deregisters one server, which goes on to serve for some seconds. With the
-// disruption, the node beside it is killed and starts again while the store turns its
-// machine away. A heartbeat from before the deregistration arrives late.
+// leave deregisters one server, which goes on to serve for some seconds, and restarts the
+// node beside it as in a rolling restart. With the disruption, the store is down meanwhile.
+// A heartbeat from before the deregistration arrives late.
 func leave(d *deployment, trouble bool) ([]string, error) {
 	if err := d.start(3); err != nil {
 		return nil, err
@@ -41,6 +41,15 @@
 		d.log("%s: heartbeat %d (ready) arrives; acknowledged %v", leaving.name, seq, ok)
 	}()
 	time.Sleep(200 * time.Millisecond)
+	if trouble {
+		d.store.SetDown(true)
+		d.log("the store is down")
+		time.AfterFunc(storeOutage, func() {
+			d.store.SetDown(false)
+			d.log("the store is back")
+		})
+		time.Sleep(300 * time.Millisecond)
+	}
 	s.mu.Lock()
 	s.state = "gone"
 	s.mu.Unlock()
@@ -49,20 +58,9 @@
 	}
 	acknowledged := time.Now()
 	d.log("%s: the deregistration is acknowledged", leaving.name)
-	if trouble {
-		time.Sleep(300 * time.Millisecond)
-		leaving.storeDown.Store(true)
-		d.log("the store turns %s away", leaving.name)
-		time.Sleep(200 * time.Millisecond)
-		leaving.kill()
-		d.log("%s: node killed", leaving.name)
-		time.Sleep(nodeRestart)
-		if err := leaving.startNode(); err != nil {
-			return nil, err
-		}
-		time.Sleep(storeRefusal - 500*time.Millisecond)
-		leaving.storeDown.Store(false)
-		d.log("the store serves %s again", leaving.name)
+	time.Sleep(100 * time.Millisecond)
+	if err := leaving.restart(); err != nil {
+		return nil, err
 	}
 	if err := leaving.awaitReady(10 * time.Second); err != nil {
 		return nil, err
--- a/review/platform/trial/deployment.go
+++ b/review/platform/trial/deployment.go
@@ -4,14 +4,11 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httputil"
-	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -121,8 +118,6 @@
 	name, ip, dir string
 	server        *server
 	settings      string
-	// storeDown makes the store answer this machine's calls with 503.
-	storeDown atomic.Bool
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -176,13 +171,9 @@
 	if err := os.MkdirAll(m.dir, 0o755); err != nil {
 		return err
 	}
-	path, err := d.storePath(m)
-	if err != nil {
-		return err
-	}
 	zone := [...]string{"poa-a", "poa-b"}[i%2]
 	write := func(first bool) error {
-		text := fmt.Sprintf(settingsText, m.name, m.ip, zone, "poa", first, service, path)
+		text := fmt.Sprintf(settingsText, m.name, m.ip, zone, "poa", first, service, d.store.Addr())
 		return os.WriteFile(m.settings, []byte(text), 0o644)
 	}
 	m.settings = filepath.Join(m.dir, "boot.conf")
@@ -196,27 +187,6 @@
 	return nil
 }
 
-// storePath returns the address of a path to the store for one machine.
-func (d *deployment) storePath(m *machine) (string, error) {
-	target := &url.URL{Scheme: "http", Host: d.store.Addr()}
-	forward := httputil.NewSingleHostReverseProxy(target)
-	forward.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, _ error) { w.WriteHeader(http.StatusServiceUnavailable) }
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	front := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if m.storeDown.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		forward.ServeHTTP(w, r)
-	})}
-	go func() { _ = front.Serve(listener) }()
-	d.cleanups = append(d.cleanups, func() { _ = front.Close() })
-	return listener.Addr().String(), nil
-}
-
 // freeSubnet returns the first three numbers of loopback addresses on which the ports of
 // a machine are free.
 func freeSubnet(n int) (string, error) {
