--- a/review/platform/trial/case_memory.go
+++ b/review/platform/trial/case_memory.go
@@ -47,7 +47,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	wait := d.keepOrdering(ctx, 3)
+	wait := d.keepOrdering(ctx, d.machines, 3)
 	time.Sleep(time.Second)
 	body := bytes.Repeat([]byte("f"), size)
 	for round := range uploadRounds {
--- a/review/platform/trial/case_poison.go
+++ b/review/platform/trial/case_poison.go
@@ -27,7 +27,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	wait := d.keepOrdering(ctx, 1)
+	wait := d.keepOrdering(ctx, d.machines, 1)
 	attempts := 0
 	// send makes attempts at a machine, and waits for the servers after each crash.
 	send := func(m *machine) {
