Write the header for the parser from the fields that were read

Callers saw: a chunked request with a header line that ends like the one that declares the coding (X-Original-Transfer-Encoding: chunked) ran with an empty body, and a part of its body ran as a request that nobody had sent, or the request got no answer. Values of headers kept the whitespace behind them, so that an ID with a space got 504.

Cause: framing.withLength found the Transfer-Encoding line of a chunked request by its bytes. The first match was the end of the other line; nbhttp's parser then still saw the coding, and parsed the decoded body as chunks and requests.

Change: readHead keeps each line that it has read, without those that declare a body, and the header for the parser is written from these lines and one Content-Length. Nothing is searched for, and the parser, which accepts more than readHead, never sees a transfer coding.

--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -32,8 +32,7 @@
 	// Further input is ignored.
 	closed bool
 
-	// head is the received part of the header, until it is complete and checked. The
-	// header of a chunked body is kept until the body is complete.
+	// head is the received part of the header, until it is complete and checked.
 	head []byte
 	// headBytes is the size of the last complete header.
 	headBytes int
@@ -146,13 +145,14 @@
 }
 
 // finishHead checks a complete header and passes it to the parser, except for
-// that of a chunked body, which is kept until the body is complete.
+// that of a chunked body, which is passed on when the body is complete.
 func (f *framer) finishHead(parse func([]byte) error) error {
 	f.headStart, f.emptyLines = time.Time{}, 0
 	declared, err := readHead(f.head)
 	if err != nil {
 		return err
 	}
+	f.head, f.headBytes = nil, len(f.head)
 	if declared.length > f.limits().Body {
 		return nbhttp.ErrTooLong
 	}
@@ -162,9 +162,7 @@
 	if declared.chunked {
 		return nil
 	}
-	complete := f.head
-	f.head, f.headBytes = nil, len(f.head)
-	return parse(complete)
+	return parse(declared.head(declared.length))
 }
 
 func (f *framer) feedBody(parse func([]byte) error, data []byte) (int, error) {
@@ -194,9 +192,8 @@
 	if err != nil || f.chunks.state != chunkDone {
 		return n, err
 	}
-	complete, body := f.declared.withLength(f.head, len(f.body)), f.body
-	f.headBytes = len(f.head)
-	f.chunks, f.head, f.body, f.inBody = chunkDecoder{}, nil, nil, false
+	complete, body := f.declared.head(len(f.body)), f.body
+	f.chunks, f.declared, f.body, f.inBody = chunkDecoder{}, framing{}, nil, false
 	if err := parse(complete); err != nil || len(body) == 0 {
 		return n, err
 	}
--- a/internal/http1/framer_test.go
+++ b/internal/http1/framer_test.go
@@ -16,12 +16,25 @@
 	text, want string
 }
 
+// deceptiveHeaders contain text that also occurs in the headers that declare a body.
+var deceptiveHeaders = []string{
+	"X-Original-Transfer-Encoding: chunked",
+	"X-Original-Content-Length: 5",
+	"X-Seen: Transfer-Encoding: chunked",
+	"X-Seen: Content-Length: 5",
+	"Transfer-Encoding-Before: chunked",
+	"Trailer: Content-Length",
+}
+
 func drawRequest(t *rapid.T, i int) sentRequest {
 	// Bodies that look like the end of a header or like a request reveal a parser
 	// that confuses bodies with headers.
 	body := strings.Repeat(rapid.SampledFrom([]string{"", "x", "\r\n\r\n", "GET /stolen HTTP/1.1\r\nHost: a\r\n\r\n", strings.Repeat("y", 1000)}).Draw(t, "body"),
 		rapid.IntRange(1, 90).Draw(t, "times"))
 	head := fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: a\r\n", i)
+	for range rapid.IntRange(0, 2).Draw(t, "extra") {
+		head += rapid.SampledFrom(deceptiveHeaders).Draw(t, "header") + "\r\n"
+	}
 	want := fmt.Sprintf("/%d %s", i, body)
 	switch rapid.SampledFrom([]string{"length", "chunks", "none"}).Draw(t, "kind") {
 	case "length":
@@ -120,6 +133,27 @@
 	}
 }
 
+// Guards against a request that ends in the wrong place, so that a part of its body runs
+// as another request, because a header looks like the one that declares the body.
+func TestHeadersDoNotChangeFraming(t *testing.T) {
+	engine := nbhttp.NewEngine(nbhttp.Config{ReadLimit: defaultHeader})
+	const body = "0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: a\r\n\r\n"
+	framings := map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+	}
+	for name, end := range framings {
+		for _, header := range deceptiveHeaders {
+			for place, head := range map[string]string{"before": header + "\r\n" + end, "after": strings.Replace(end, "\r\n", "\r\n"+header+"\r\n", 1)} {
+				t.Run(name+" "+place+" "+header, func(t *testing.T) {
+					got := parseRequests(t, engine, []byte("POST /whole HTTP/1.1\r\nHost: a\r\n"+head+"GET /next HTTP/1.1\r\nHost: a\r\n\r\n"))
+					assert.DeepEqual(t, got, []string{"/whole " + body, "/next "})
+				})
+			}
+		}
+	}
+}
+
 // Guards against requests on one connection that are split wrongly or whose bodies
 // are overwritten by later input, for any content and framing of the bodies and
 // any sizes of the network reads.
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -12,11 +12,16 @@
 	// length is the declared length of the body, or zero if there is no body.
 	length  int
 	chunked bool
-	// encoding is the Transfer-Encoding line including its CRLF, as a slice of the
-	// header.
-	encoding []byte
+	// sized is set when a body is declared, even an empty one.
+	sized bool
+	// lines are the request line and the header lines as they were read, without those
+	// that declare the body.
+	lines []byte
 }
 
+// maxLengthLine is the size of the longest Content-Length line.
+const maxLengthLine = len("Content-Length: \r\n") + maxLengthDigits
+
 // readHead checks a header as strictly as RFC 9112 requires of a recipient. If two
 // recipients disagree about the end of a request, a caller can smuggle a second
 // request in the body of the first.
@@ -30,9 +35,10 @@
 	if err != nil {
 		return h, err
 	}
+	h.lines = make([]byte, 0, len(raw)+maxLengthLine)
+	h.lines = appendLine(h.lines, line)
 	lengths, hosts := 0, 0
 	for {
-		begin := rest
 		line, rest, ok = cutLine(rest)
 		switch {
 		case !ok:
@@ -56,10 +62,14 @@
 			if h.chunked || !equalFold(value, "chunked") {
 				return h, eris.Errorf("transfer coding %.40q is not supported; send chunked once", value)
 			}
-			h.chunked, h.encoding = true, begin[:len(begin)-len(rest)]
+			h.chunked = true
 		case equalFold(name, "Host"):
 			hosts++
+			h.lines = appendField(h.lines, name, value)
+		default:
+			h.lines = appendField(h.lines, name, value)
 		}
+		h.sized = h.chunked || lengths > 0
 	}
 }
 
@@ -75,15 +85,23 @@
 	return nil
 }
 
-// withLength returns the header with Content-Length instead of Transfer-Encoding.
-func (h framing) withLength(raw []byte, n int) []byte {
-	at := bytes.Index(raw, h.encoding)
-	out := make([]byte, 0, len(raw)+32)
-	out = append(out, raw[:at]...)
-	out = append(out, "Content-Length: "...)
-	out = strconv.AppendInt(out, int64(n), 10)
-	out = append(out, "\r\n"...)
-	return append(out, raw[at+len(h.encoding):]...)
+// head returns the header of a request with a body of n bytes. It is written from the
+// fields that were read and has no transfer coding, so that nbhttp's parser, which
+// accepts more than readHead, cannot find another end of the request.
+func (h framing) head(n int) []byte {
+	out := h.lines
+	if h.sized {
+		out = append(out, "Content-Length: "...)
+		out = append(strconv.AppendInt(out, int64(n), 10), "\r\n"...)
+	}
+	return append(out, "\r\n"...)
+}
+
+func appendLine(b, line []byte) []byte { return append(append(b, line...), "\r\n"...) }
+
+func appendField(b, name, value []byte) []byte {
+	b = append(append(b, name...), ": "...)
+	return appendLine(b, value)
 }
 
 // readRequestLine returns the minor version.
--- a/internal/http1/strict_test.go
+++ b/internal/http1/strict_test.go
@@ -108,10 +108,50 @@
 	}
 }
 
-// FuzzHead checks that readHead and net/http agree on the framing of every header
-// that both accept.
+// Guards against header values that differ from those of other recipients because the
+// optional whitespace around them was kept, such as an ID that no answer matches.
+func TestWhitespaceAroundValuesIsRemoved(t *testing.T) {
+	for name, lines := range map[string]string{
+		"none":     "X-Id: a b\r\nContent-Length: 4\r\n",
+		"missing":  "X-Id:a b\r\nContent-Length:4\r\n",
+		"spaces":   "X-Id:   a b  \r\nContent-Length:  4  \r\n",
+		"tabs":     "X-Id:\t a b\t\r\nContent-Length:\t4\t\r\n",
+		"chunked":  "X-Id:\ta b \r\nTransfer-Encoding:\tchunked \r\n",
+		"host too": "X-Id: a b \r\nContent-Length: 4\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := make(chan string, 1)
+			s := &Server{Handler: func(_ context.Context, r *http.Request, body []byte) *http.Response {
+				got <- fmt.Sprintf("%s %q %s", r.Host, r.Header["X-Id"], body)
+				return Text(http.StatusOK, "ok")
+			}}
+			assert.NilError(t, s.Listen("127.0.0.1:0"))
+			defer s.Close()
+			conn, err := net.Dial("tcp", s.Addr())
+			assert.NilError(t, err)
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+			body := "abcd"
+			if name == "chunked" {
+				body = "4\r\nabcd\r\n0\r\n\r\n"
+			}
+			_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h \t\r\n"+lines+"\r\n"+body)
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, <-got, `h ["a b"] abcd`)
+		})
+	}
+}
+
+// FuzzHead checks that readHead and net/http agree on the framing of every header that
+// both accept, and that the header for the parser has the same fields and no coding.
 func FuzzHead(f *testing.F) {
-	for _, lines := range []string{"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "A: b\r\n c\r\n", "Content-Length : 4\r\n"} {
+	for _, lines := range []string{
+		"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "A: b\r\n c\r\n", "Content-Length : 4\r\n",
+		"X-Original-Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "A:\tb \r\ncontent-length: 04\r\n",
+	} {
 		f.Add("POST / HTTP/1.1\r\nHost: a\r\n" + lines + "\r\n")
 	}
 	f.Fuzz(func(t *testing.T, text string) {
@@ -128,5 +168,18 @@
 		if !chunked {
 			assert.Equal(t, int64(h.length), r.ContentLength, fmt.Sprintf("%q", text))
 		}
+		const length = 7
+		passed, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(h.head(length))))
+		assert.NilError(t, err, fmt.Sprintf("%q", text))
+		assert.Equal(t, len(passed.TransferEncoding), 0)
+		if h.sized {
+			assert.Equal(t, passed.ContentLength, int64(length))
+		}
+		for _, header := range []http.Header{r.Header, passed.Header} {
+			header.Del("Content-Length")
+			header.Del("Trailer") // net/http removes it from a chunked request
+		}
+		assert.DeepEqual(t, passed.Header, r.Header)
+		assert.Equal(t, passed.Method+" "+passed.RequestURI+" "+passed.Host, r.Method+" "+r.RequestURI+" "+r.Host)
 	})
 }
