Refuse methods in lower case

Callers saw: a request with the method post ran as POST.

Cause: nbhttp's parser turns methods into upper case, but methods are case sensitive, so the server ran a request with another method than was sent.

Change: such a method gets 400, like any other that the parser does not know.

Evidence: the case "method in lower case" of TestAmbiguousFramingIsRefused got 200 before and gets 400 now.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -108,7 +108,7 @@
 func readRequestLine(line []byte) (version byte, err error) {
 	method, rest, ok := bytes.Cut(line, []byte(" "))
 	target, protocol, ok2 := bytes.Cut(rest, []byte(" "))
-	if !ok || !ok2 || !isToken(method) || len(target) == 0 || !isVisible(target) {
+	if !ok || !ok2 || !isMethod(method) || len(target) == 0 || !isVisible(target) {
 		return 0, eris.Errorf("malformed request line %.80q", line)
 	}
 	if string(protocol) != "HTTP/1.1" && string(protocol) != "HTTP/1.0" {
@@ -166,6 +166,10 @@
 	return len(b) > 0
 }
 
+// isMethod reports whether b is a method in upper case. nbhttp's parser would turn
+// another one, which names another method, into upper case.
+func isMethod(b []byte) bool { return isToken(b) && bytes.Equal(b, bytes.ToUpper(b)) }
+
 func isVisible(b []byte) bool {
 	for _, c := range b {
 		if c <= ' ' || c == 0x7f {
--- a/internal/http1/strict_test.go
+++ b/internal/http1/strict_test.go
@@ -45,6 +45,7 @@
 		"bare CR in a line":       {"GET / HTTP/1.1\r\n" + host + "A: b\rc: d\r\n\r\n", 400, 0},
 		"folded line":             {"GET / HTTP/1.1\r\n" + host + "A: b\r\n c\r\n\r\n", 400, 0},
 		"NUL in a value":          {"GET / HTTP/1.1\r\n" + host + "A: b\x00\r\n\r\n", 400, 0},
+		"method in lower case":    {"post / HTTP/1.1\r\n" + host + "Content-Length: 0\r\n\r\n", 400, 0},
 		"no version":              {"GET /\r\n" + host + "\r\n", 400, 0},
 		"two spaces":              {"GET  / HTTP/1.1\r\n" + host + "\r\n", 400, 0},
 		"chunk extension bare LF": {"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3;x\nabc\r\n0\r\n\r\n", 400, 0},
