Remember that a server is leaving over restarts of its node

Callers saw: a server deregistered, its node acknowledged that and was restarted while the store was down. A late heartbeat brought the server back, and requests reached it until it exited, some of them cut off with 502.

Cause: the leaving was acknowledged while only the memory of one process knew it. The next process read the entry of its predecessor once, went on without it if the store was down, replaced it in the store, and took the first report that came for the newest.

An entry is written only over the row that was read or written before, so that neither an unread predecessor nor a newer entry is replaced, also by a write that is executed late. For 30 s a process with a predecessor applies a report of a ready server only after the server has answered its health check with 200, which holds when all nodes and the store are down.

TestCanceledReservationFreesItsSlot now has a node without a predecessor, since one with a predecessor would first ask the server that the test lacks. TestDeregistrationSurvivesNodeRestart assembles its node as Start does.

--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/wire"
@@ -50,8 +51,18 @@
 	spreading map[string]*spreadState
 	// published is the change number of the entry in the registry, zero before the
 	// first write; first is the position and time of that write.
-	published      uint64
-	first          WriteResult
+	published uint64
+	first     WriteResult
+	// row is the position of the entry in the registry, if rowKnown is set. An entry of an
+	// earlier process is not replaced before it was read.
+	row      uint64
+	rowKnown bool
+	// witnessed is the newest change that another node has, and leaving the change that
+	// has set Leaving for the current server.
+	witnessed, leaving uint64
+	// earlier is called, without holding mu, with the entry of an earlier process of this
+	// node.
+	earlier        func(e roster.Entry)
 	publishing     bool
 	retryScheduled bool
 	// fetching is set while the configuration of another node is fetched.
@@ -62,8 +73,12 @@
 // it.
 func (a *announcer) update(ctx context.Context, change func(e *roster.Entry)) {
 	a.mu.Lock()
+	old := a.own
 	change(&a.own)
 	a.own.Change++
+	if a.own.Leaving && (!old.Leaving || old.Server != a.own.Server) {
+		a.leaving = a.own.Change
+	}
 	own := a.own
 	a.mu.Unlock()
 	a.directory.merge([]roster.Entry{own}, time.Now())
@@ -220,7 +235,7 @@
 }
 
 func (a *announcer) exchange(ctx context.Context, to roster.Entry, own roster.Entry) (*nodeUpdate, error) {
-	head, err := encode(message{Update: &nodeUpdate{Entry: own, Version: a.follower.version()}})
+	head, err := encode(message{Update: &nodeUpdate{Entry: own, Version: a.follower.version(), Left: a.directory.leftOf(to.Node)}})
 	if err != nil {
 		return nil, err
 	}
@@ -228,6 +243,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.witness(own)
 	return reply.Update, nil
 }
 
@@ -284,6 +300,9 @@
 	for _, e := range changed {
 		a.logEntry(e, "node told of itself")
 	}
+	if own := a.entry(); n.Left != nil && n.Left.Node == own.Node && n.Left.Start < own.Start {
+		a.earlier(*n.Left)
+	}
 	a.fetchIfNewer(ctx, n.Version, n.Entry)
 }
 
@@ -322,15 +341,9 @@
 	wait := minPublishBackoff
 	for {
 		own := a.entry()
-		written, err := a.Registry.Publish(ctx, own)
+		err := a.publishOnce(ctx, own)
 		a.mu.Lock()
-		if err == nil {
-			if a.published == 0 {
-				a.first = written
-			}
-			a.published = own.Change
-		}
-		if err == nil && a.own.Change == own.Change || ctx.Err() != nil {
+		if err == nil && a.published == a.own.Change || ctx.Err() != nil {
 			a.publishing = false
 			a.mu.Unlock()
 			return
@@ -343,3 +356,73 @@
 		}
 	}
 }
+
+// publishOnce writes an entry over the one that the registry has. It reads that first if
+// it is not known: it may be of an earlier process, or written by this one without a
+// reply.
+func (a *announcer) publishOnce(ctx context.Context, own roster.Entry) error {
+	a.mu.Lock()
+	row, known := a.row, a.rowKnown
+	a.mu.Unlock()
+	if !known {
+		found, err := a.Registry.Entry(ctx, own.Node)
+		if err != nil {
+			return err
+		}
+		a.found(ctx, found)
+		row, own = found.Position, a.entry()
+	}
+	written, err := a.Registry.Publish(ctx, own, row)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if fault.Is(err, fault.KindConflict) {
+		a.rowKnown = false
+	}
+	if err != nil {
+		return err
+	}
+	a.row, a.rowKnown = written.Position, written.Position > 0
+	if a.published == 0 {
+		a.first = written
+	}
+	a.published = own.Change
+	return nil
+}
+
+// found takes over the entry of this node that the registry has.
+func (a *announcer) found(ctx context.Context, m Member) {
+	a.mu.Lock()
+	a.row, a.rowKnown = m.Position, true
+	own := a.own
+	a.mu.Unlock()
+	switch {
+	case m.Node != own.Node || m.Start == own.Start:
+	case m.Start > own.Start:
+		a.advanceStart(ctx, m.Start)
+		fallthrough
+	default:
+		a.earlier(m.Entry)
+	}
+}
+
+// witness records that another node has an entry of this one.
+func (a *announcer) witness(own roster.Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.witnessed = max(a.witnessed, own.Change)
+}
+
+// awaitLeaving waits until the registry or another node knows that a server is leaving,
+// so that the end of this process does not bring it back. It reports whether one does.
+func (a *announcer) awaitLeaving(ctx context.Context, server string) bool {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		kept := a.own.Leaving && a.own.Server == server && max(a.published, a.witnessed) >= a.leaving
+		a.mu.Unlock()
+		if kept {
+			return true
+		}
+		clock.Sleep(ctx, publishedPoll)
+	}
+	return false
+}
--- a/internal/mesh/directory.go
+++ b/internal/mesh/directory.go
@@ -34,6 +34,9 @@
 	loads  map[string]*serverLoad
 	// down holds the nodes that cannot be reached.
 	down map[string]struct{}
+	// left holds the last entries of nodes in which their servers were leaving, until an
+	// entry has another server. A node that restarts asks for its own.
+	left map[string]roster.Entry
 	// forgotten holds the starts of nodes that were removed, at most maxForgotten.
 	forgotten map[string]int64
 }
@@ -81,6 +84,7 @@
 			continue
 		}
 		changed = append(changed, e)
+		d.keepLeft(e)
 		if !known || old.Start != e.Start || old.Server != e.Server {
 			d.clearLoad(e.Node)
 		} else if l := d.loads[e.Node]; l != nil {
@@ -90,6 +94,29 @@
 	return changed
 }
 
+// keepLeft keeps an entry with a leaving server, and drops one that is out of date. The
+// caller holds d.mu.
+func (d *directory) keepLeft(e roster.Entry) {
+	if e.Leaving {
+		if d.left == nil {
+			d.left = make(map[string]roster.Entry)
+		}
+		d.left[e.Node] = e
+	} else if left, ok := d.left[e.Node]; ok && e.Server != "" && (e.Server != left.Server || e.State == roster.Ready) {
+		delete(d.left, e.Node)
+	}
+}
+
+// leftOf returns the kept entry of a node; nil if there is none.
+func (d *directory) leftOf(node string) *roster.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.left[node]; ok {
+		return &e
+	}
+	return nil
+}
+
 // clearLoad removes the observations of a node's server. The caller holds d.mu.
 func (d *directory) clearLoad(node string) {
 	delete(d.loads, node)
@@ -167,6 +194,7 @@
 		d.forgotten[node] = e.Start
 	}
 	d.roster.Remove(node)
+	delete(d.left, node)
 	d.clearLoad(node)
 }
 
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -65,22 +65,33 @@
 	n.announcer.notifyAll(n.runCtx, n.announcer.informed(members))
 }
 
-// restore takes over the state of an earlier process of this node from the registry:
-// the concurrency limit, and that the server is leaving.
+// restore takes over the state of an earlier process of this node from the registry. If
+// the registry does not answer, this is done before the entry is written.
 func (n *Node) restore() {
 	if n.Fresh {
 		return
 	}
-	earlier, err := n.Registry.Members(n.runCtx)
+	members, err := n.Registry.Members(n.runCtx)
 	if err != nil {
-		n.Log.WithError(err).Warn("cannot read the entry of the earlier process")
+		n.Log.WithError(err).Warn("cannot read the entry of the earlier process yet")
+		return
 	}
-	n.serverProxy.suggestLimit(initialLimit(earlier, n.Node(), n.Service))
-	for _, e := range earlier {
-		if e.Node == n.Node() && e.Leaving {
-			n.serverProxy.deregister(e.Server, 0)
+	n.serverProxy.suggestLimit(initialLimit(members, n.Node(), n.Service))
+	var own Member
+	for _, m := range members {
+		if m.Node == n.Node() {
+			own = m
 		}
 	}
+	n.announcer.found(n.runCtx, own)
+}
+
+// takeOver takes over from an entry of an earlier process that the server is leaving.
+func (n *Node) takeOver(e roster.Entry) {
+	n.serverProxy.suggestLimit(initialLimit([]Member{{Entry: e}}, n.Node(), n.Service))
+	if e.Leaving && n.serverProxy.deregister(e.Server, e.Born) {
+		n.Log.WithField("server", e.Server).Info("backend server was leaving before the start of this node")
+	}
 }
 
 // initialLimit returns the limit that an earlier process of this node found, or else
--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -6,9 +6,17 @@
 	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
-// serverFound records the server that answered a probe.
+// serverFound records the server that answered a probe, and applies its report that was
+// held back until then.
 func (p *serverProxy) serverFound(id string, healthy bool) {
 	p.mu.Lock()
+	var confirmed *roster.Report
+	if healthy {
+		p.confirmed = id
+		if p.held != nil && p.held.ID == id {
+			confirmed, p.held = p.held, nil
+		}
+	}
 	replaced := p.server.ID != id
 	p.markUp(replaced)
 	if replaced {
@@ -24,6 +32,46 @@
 	if replaced {
 		p.changed()
 	}
+	if confirmed != nil {
+		p.report(*confirmed)
+	}
+}
+
+// holdBack keeps a report that may have been sent before this process started, and may
+// therefore be older than what the server told an earlier process, until the server
+// itself has answered that it is healthy. The caller holds p.mu.
+func (p *serverProxy) holdBack(r roster.Report, now time.Time) bool {
+	if r.State != roster.Ready || p.confirmed == r.ID || !now.Before(p.doubtUntil) {
+		return false
+	}
+	if h := p.held; h == nil || h.ID != r.ID || h.StartTime != r.StartTime || h.Seq < r.Seq {
+		p.held = &r
+	}
+	return true
+}
+
+// confirm asks the server whether it is healthy.
+func (p *serverProxy) confirm() {
+	p.mu.Lock()
+	path := p.healthPath
+	p.mu.Unlock()
+	if path == "" {
+		return // findServer asks as soon as the path is known
+	}
+	if id, healthy := p.probe(path); id != "" {
+		p.serverFound(id, healthy)
+	}
+}
+
+// trust ends the doubt about reports, and applies the one that was held back.
+func (p *serverProxy) trust() {
+	p.mu.Lock()
+	held := p.held
+	p.held, p.doubtUntil = nil, time.Time{}
+	p.mu.Unlock()
+	if held != nil {
+		p.report(*held)
+	}
 }
 
 // markUp records that the server accepts connections. The caller holds p.mu.
@@ -38,6 +86,12 @@
 // than the state already known.
 func (p *serverProxy) report(r roster.Report) bool {
 	p.mu.Lock()
+	if p.holdBack(r, time.Now()) {
+		p.mu.Unlock()
+		p.Log.WithField("server", r.ID).WithField("seq", r.Seq).Info("report held back until the backend server confirms it")
+		go p.confirm()
+		return true
+	}
 	old := p.server
 	changed, stale := p.server.Apply(r, time.Now())
 	if stale {
@@ -58,8 +112,9 @@
 	return true
 }
 
-// deregister marks the server with the given name and start time as gone.
-func (p *serverProxy) deregister(id string, startTime int64) {
+// deregister marks the server with the given name and start time as gone. It returns
+// false if that is not the current server.
+func (p *serverProxy) deregister(id string, startTime int64) bool {
 	p.mu.Lock()
 	known := p.server.MarkGone(id, startTime, time.Now())
 	if known {
@@ -70,6 +125,7 @@
 		p.Log.WithField("server", id).Info("backend server left")
 		p.changed()
 	}
+	return known
 }
 
 func (p *serverProxy) serverGone() bool {
@@ -91,7 +147,10 @@
 	defer p.mu.Unlock()
 	e.Limit = p.limiter.Limit.Current()
 	e.Server, e.State, e.Slots, e.WarmUp = p.server.ID, p.server.State, p.limiter.Limit.Slots(), p.server.WarmUp
-	e.Leaving = p.server.Leaving()
+	e.Leaving, e.Born = p.server.Leaving(), 0
+	if e.Leaving {
+		e.Born = p.server.StartTime
+	}
 	if e.Slots == 0 {
 		e.Slots = p.server.Slots
 	}
--- a/internal/mesh/local_server_test.go
+++ b/internal/mesh/local_server_test.go
@@ -74,7 +74,7 @@
 
 			n := &Node{Options: *options}
 			n.Registry = &listRegistry{members: []Member{{Entry: e}}}
-			n.serverProxy.Options, n.serverProxy.changed = options, func() {}
+			n.assemble()
 			n.serverProxy.serverFound("a", true)
 			n.restore()
 			assert.Equal(t, report(&n.serverProxy, roster.Ready, 7), !c.leaving)
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -51,6 +51,9 @@
 	// LaterStart is set in a reply to a node whose name is known with a later start,
 	// because its clock has gone back since.
 	LaterStart int64 `msgpack:"a,omitempty"`
+	// Left is the last entry of the receiver in which its server was leaving, if the
+	// sender knows of none of another server since.
+	Left *roster.Entry `msgpack:"l,omitempty"`
 }
 
 // entries is a bounded list of entries.
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -115,6 +115,10 @@
 	n.follower.relays, n.follower.askRelay = n.relays, n.announcer.fetchNext
 	n.announcer.Options, n.announcer.directory, n.announcer.follower, n.announcer.peers = o, &n.directory, &n.follower, &n.peers
 	n.entryRelay.announcer = &n.announcer
+	n.announcer.earlier, n.announcer.rowKnown = n.takeOver, o.Fresh
+	if !o.Fresh {
+		n.serverProxy.doubtUntil = time.Now().Add(roster.MaxReportDelay)
+	}
 	n.announcer.own = roster.Entry{
 		Node: o.Node, Start: time.Now().UnixMilli(), Domain: o.Domain, Region: o.Region, Service: o.Service,
 	}
@@ -141,8 +145,18 @@
 // is older than the state already known.
 func (n *Node) Report(r roster.Report) bool { return n.serverProxy.report(r) }
 
-// Deregister deregisters the backend server with the given name and start time.
-func (n *Node) Deregister(id string, startTime int64) { n.serverProxy.deregister(id, startTime) }
+// Deregister deregisters the backend server with the given name and start time. It
+// returns false if that is not the current server.
+func (n *Node) Deregister(id string, startTime int64) bool {
+	return n.serverProxy.deregister(id, startTime)
+}
+
+// AwaitLeaving waits until the leaving of a backend server is known outside this process.
+// It returns false if it is not before ctx ends; the leaving must not be acknowledged
+// then, because a restart of this node could forget it.
+func (n *Node) AwaitLeaving(ctx context.Context, server string) bool {
+	return n.announcer.awaitLeaving(ctx, server)
+}
 
 // Serve implements call.Server for requests of callers.
 func (n *Node) Serve(ctx context.Context, r call.Request) (*call.Answer, error) {
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -22,8 +22,11 @@
 type Registry interface {
 	// Members returns the entries of all nodes.
 	Members(ctx context.Context) ([]Member, error)
-	// Publish replaces the entry of this node.
-	Publish(ctx context.Context, e roster.Entry) (WriteResult, error)
+	// Entry returns the entry of a node, or the zero Member if there is none.
+	Entry(ctx context.Context, node string) (Member, error)
+	// Publish replaces the entry of this node that was read or written at a position,
+	// zero for none. It fails with fault.KindConflict if that is no longer the newest.
+	Publish(ctx context.Context, e roster.Entry, position uint64) (WriteResult, error)
 	// Withdraw removes the entry of a node unless it has changed.
 	Withdraw(ctx context.Context, e roster.Entry) error
 	// Configuration returns the newest configuration and its raw form.
--- a/internal/mesh/peer_messages.go
+++ b/internal/mesh/peer_messages.go
@@ -68,8 +68,12 @@
 
 // updated processes the update of another node and returns the reply.
 func (n *Node) updated(u nodeUpdate) response {
+	left := n.directory.leftOf(u.Entry.Node)
 	n.announcer.receive(n.runCtx, u)
 	reply := response{Update: n.announcer.updateReply(u)}
+	if !u.Entry.Leaving {
+		reply.Update.Left = left
+	}
 	if !n.joined.Load() || n.stopping.Load() {
 		return reply
 	}
--- a/internal/mesh/reserve_test.go
+++ b/internal/mesh/reserve_test.go
@@ -53,7 +53,7 @@
 // Guards against a slot that stays reserved after the sender has canceled the reservation.
 func TestCanceledReservationFreesItsSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := &Node{Options: Options{Node: "n1", Service: "s", Log: &log.Logger{Handler: discard.New()}}}
+		n := &Node{Options: Options{Node: "n1", Service: "s", Fresh: true, Log: &log.Logger{Handler: discard.New()}}}
 		n.assemble()
 		n.serverProxy.report(roster.Report{ID: "i1", State: roster.Ready, Slots: 1, Seq: 1})
 		head, err := encode(message{Reserve: &call.Request{Service: "s", Timeout: time.Second, ObjectiveTimeout: time.Second}})
--- a/internal/mesh/server_probe.go
+++ b/internal/mesh/server_probe.go
@@ -101,8 +101,11 @@
 	first := p.healthPath == "" && path != ""
 	p.healthPath = path
 	p.mu.Unlock()
-	if first {
+	switch {
+	case first:
 		go p.findServer()
+	case path == "":
+		p.trust()
 	}
 }
 
@@ -111,7 +114,7 @@
 func (p *serverProxy) findServer() {
 	for {
 		p.mu.Lock()
-		path, known := p.healthPath, p.server.ID != "" && !p.down
+		path, known := p.healthPath, p.server.ID != "" && !p.down && p.held == nil
 		p.mu.Unlock()
 		if known || path == "" || p.serverGone() {
 			return
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -36,6 +36,12 @@
 	mu      sync.Mutex
 	limiter slots.Limiter
 	server  roster.Server
+	// Until doubtUntil, a report may have been sent to an earlier process. confirmed is the
+	// name of the server that was healthy when this process asked it, and held the newest
+	// report that waits for that; nil if there is none.
+	doubtUntil time.Time
+	confirmed  string
+	held       *roster.Report
 	// down is set while the server accepts no connections.
 	down bool
 	// lastRequest is when the last request arrived, and probing whether the probe
--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -160,7 +160,7 @@
 // the relay passes the entry of this node on.
 func (a *announcer) spreadTo(ctx context.Context, to, own roster.Entry, passOn bool) bool {
 	head, err := encode(message{Update: &nodeUpdate{
-		Entry: own, Version: a.follower.version(), PassOn: passOn, Marks: a.directory.marks(to.Region),
+		Entry: own, Version: a.follower.version(), PassOn: passOn, Marks: a.directory.marks(to.Region), Left: a.directory.leftOf(to.Node),
 	}})
 	if err != nil {
 		return false
@@ -172,6 +172,7 @@
 		}
 		return false
 	}
+	a.witness(own)
 	a.receiveEntries(reply.Entries)
 	a.checkUnknown(ctx, to.Region, reply.Unknown)
 	if reply.Update != nil {
--- a/pkg/roster/entry.go
+++ b/pkg/roster/entry.go
@@ -44,6 +44,9 @@
 	// Leaving is set when the server itself has reported that it is leaving or gone.
 	// It also applies to the next process of this node.
 	Leaving bool `msgpack:"g,omitempty"`
+	// Born is the start time of a leaving server, which tells it from a later process of
+	// the same name; zero where it is not known or the server is not leaving.
+	Born int64 `msgpack:"b,omitempty"`
 	// Limit is the concurrency limit that the node found. It is kept here so that a
 	// restart does not lose it.
 	Limit int `msgpack:"m,omitempty"`
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -143,7 +143,7 @@
 		"comes first, successor":         {Report{}, Report{ID: "b", State: Ready, StartTime: 999, Seq: 1}, 0, 2 * time.Second, false},
 		"no start time, restarted":       {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, StartTime: 1001, Seq: 1}, 0, 2 * time.Second, false},
 		"no start time, successor":       {Report{ID: "a", State: Draining}, Report{ID: "b", State: Ready, StartTime: 999, Seq: 1}, 0, 2 * time.Second, false},
-		"no start time, clock was ahead": {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, StartTime: 999, Seq: 40}, 0, maxReportDelay, false},
+		"no start time, clock was ahead": {Report{ID: "a", State: Draining}, Report{ID: "a", State: Ready, StartTime: 999, Seq: 40}, 0, MaxReportDelay, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s Server
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -27,8 +27,8 @@
 	leaving bool
 }
 
-// maxReportDelay is the maximum delay of a report; heartbeats may be seconds late.
-const maxReportDelay = 30 * time.Second
+// MaxReportDelay is the maximum delay of a report; heartbeats may be seconds late.
+const MaxReportDelay = 30 * time.Second
 
 // Apply applies a report and returns whether it changed what other nodes need to
 // know. stale is set if the report is older than the known state.
@@ -43,7 +43,7 @@
 
 func (s *Server) isStale(r Report, now time.Time) bool {
 	if !s.goneAt.IsZero() && r.ID == s.ID {
-		return r.StartTime <= s.goneAt.UnixMilli() && now.Sub(s.goneAt) < maxReportDelay
+		return r.StartTime <= s.goneAt.UnixMilli() && now.Sub(s.goneAt) < MaxReportDelay
 	}
 	if r.StartTime != s.StartTime && r.StartTime != 0 && s.StartTime != 0 {
 		return r.StartTime < s.StartTime
