Set the address in the entry under its lock

Cause: a node that starts again is sent messages at its old address as soon as it listens there. Their handlers read the entry while Start sets its address, so that a node could also get an entry without an address and ignore it.

Evidence: the race detector reported it once in TestCrashesAreKnownAfterRestart (platform).

--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -96,6 +96,14 @@
 	a.publish(ctx)
 }
 
+// setAddr sets the address in the entry. Other nodes may be served already, since they
+// know the address of an earlier process.
+func (a *announcer) setAddr(addr string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.own.Addr = addr
+}
+
 func (a *announcer) entry() roster.Entry {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -89,7 +89,7 @@
 	if err := n.callers.Listen(n.Caller); err != nil {
 		return err
 	}
-	n.announcer.own.Addr = cmp.Or(n.Advertise, n.peerServer.Addr())
+	n.announcer.setAddr(cmp.Or(n.Advertise, n.peerServer.Addr()))
 	go n.follower.run(n.runCtx)
 	go n.join()
 	go n.tickLoop()
