Pass headers without a value on

Callers saw: a header without a value did not reach the server on the platform.

Cause: HeaderNames.appendHead left out headers without a value, which is meant for those that the node sets itself.

Evidence: TestEmptyHeadersArePassedOn fails before and passes now.

--- a/internal/backend/header_names.go
+++ b/internal/backend/header_names.go
@@ -90,7 +90,7 @@
 	buf = appendField(buf, "Host", r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
-			buf = appendField(buf, name, v)
+			buf = appendLine(buf, name, v)
 		}
 	}
 	buf = appendField(buf, n.ID, r.ID)
@@ -105,10 +105,15 @@
 	return append(buf, "\r\n"...)
 }
 
+// appendField appends a header that the node sets itself, unless it has no name or value.
 func appendField(buf []byte, name, value string) []byte {
 	if name == "" || value == "" {
 		return buf
 	}
+	return appendLine(buf, name, value)
+}
+
+func appendLine(buf []byte, name, value string) []byte {
 	buf = append(buf, name...)
 	buf = append(buf, ": "...)
 	buf = append(buf, value...)
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -174,3 +175,22 @@
 		p.keepAlive(c, response)
 	})
 }
+
+// Guards against a caller's header without a value that does not reach the server.
+func TestEmptyHeadersArePassedOn(t *testing.T) {
+	got := make(chan http.Header, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got <- r.Header
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "s")
+	}))
+	defer server.Close()
+	p := &Pool{HeaderNames: testHeaderNames}
+	defer p.Close()
+	r := call.Request{ID: "1", Method: http.MethodGet, URI: "/", Host: "a", Header: http.Header{"X-Empty": {""}, "X-List": {"a", "", "b"}}, Deadline: time.Now().Add(time.Minute)}
+	_, err := p.Do(t.Context(), server.Listener.Addr().String(), r)
+	assert.NilError(t, err)
+	h := <-got
+	assert.DeepEqual(t, h["X-Empty"], []string{""})
+	assert.DeepEqual(t, h["X-List"], []string{"a", "", "b"})
+}
