Know the crashes of before the start of a node

Callers saw: a request that had crashed two servers and was refused everywhere crashed further ones after a restart of the nodes; each crash ends the requests of others at that server with 502.

Cause: crashes were only in the memory of the nodes that ran at that time. internal/mesh sent an incident once, and a node that joined asked nobody. internal/daemon asked three nodes of any service after it had begun to serve.

A node that has a predecessor reads them and asks three nodes of its service before its server takes requests. A node that could not be told gets them when it answers a probe.

--- a/internal/daemon/crash_detector.go
+++ b/internal/daemon/crash_detector.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -30,6 +31,11 @@
 	maxConcurrentSends = 32
 	// maxIncidentPeers is how many nodes a new node asks for the known incidents.
 	maxIncidentPeers = 3
+	// incidentTimeout bounds the wait for them. Hosts that are gone do not answer.
+	incidentTimeout = 300 * time.Millisecond
+	// crashlessStart is how long a node that can ask nobody keeps its server from taking
+	// requests.
+	crashlessStart = 2 * time.Second
 )
 
 // crashDetector finds the requests that crash backend servers and keeps them from
@@ -40,7 +46,18 @@
 	members   *membership
 	transport *node.Transport
 
+	// rows stores the crashes of the server beside this node.
+	rows crashRows
+	// runCtx ends when the node stops.
+	runCtx context.Context
+	// learning is the service whose earlier crashes are being asked for, learningSince
+	// since when. Both are used by learn only.
+	learning      string
+	learningSince time.Time
+
 	mu sync.Mutex
+	// known is the service whose earlier crashes are known.
+	known string
 	// senders counts the requests in flight here by the node that sent them.
 	senders map[string]int
 	// reportDone is closed when the newest report has ended; nil before the first.
@@ -65,6 +82,9 @@
 		return nil, nil
 	}
 	all[kindIncidents] = func(context.Context, string, []byte) ([]byte, error) {
+		if c.knows("") {
+			return nil, fault.New(fault.KindStopped, "node %s does not know the earlier crashes itself", c.ID)
+		}
 		return msgpack.Marshal(c.table.Incidents(time.Now(), nil))
 	}
 }
@@ -152,10 +172,31 @@
 	recipients := c.recipients(service)
 	c.Log.WithField("node", c.ID).WithField("service", service).WithField("requests", len(incident.Fingerprints)).
 		Error("backend server crashed")
+	saved := make(chan struct{})
+	go func() {
+		defer close(saved)
+		c.save(service, incident)
+	}()
+	timer := time.NewTimer(broadcastTimeout)
+	defer timer.Stop()
 	body, err := msgpack.Marshal(incident)
 	if err == nil {
 		c.broadcast(ctx, kindIncident, body, recipients)
 	}
+	select {
+	case <-saved:
+	case <-timer.C:
+	}
+}
+
+// save saves an incident in the table service.
+func (c *crashDetector) save(service string, i quarantine.Incident) {
+	err := crash.Save(c.runCtx, i, func(ctx context.Context, i quarantine.Incident) error {
+		return c.rows.save(ctx, service, c.ID, i)
+	})
+	if err != nil {
+		c.Log.WithError(err).WithField("node", c.ID).Warn("cannot save a crash in the table")
+	}
 }
 
 // recipients returns the other nodes that must be notified of a crash: those of the
@@ -193,24 +234,57 @@
 	wg.Wait()
 }
 
-// fetchIncidents merges the incidents that a few other nodes know. A node that joins
-// calls it, because it has missed the earlier broadcasts.
-func (c *crashDetector) fetchIncidents(ctx context.Context) {
+// knows reports whether the earlier crashes of a service are known. The server takes no
+// requests before.
+func (c *crashDetector) knows(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known == service
+}
+
+// learn gets the earlier crashes of the service of the server beside this node from the
+// table service and a few other nodes of the service. If nobody answers, the server takes
+// requests after crashlessStart all the same.
+func (c *crashDetector) learn(ctx context.Context, service string, now time.Time) {
+	if service == "" || c.knows(service) {
+		return
+	}
+	if c.learning != service {
+		c.learning, c.learningSince = service, now
+	}
+	ctx, cancel := context.WithTimeout(ctx, incidentTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	var answered atomic.Bool
+	merge := func(list []quarantine.Incident) {
+		answered.Store(true)
+		for _, i := range list {
+			c.table.Merge(i, time.Now())
+		}
+	}
+	wg.Go(func() {
+		if saved, err := c.rows.list(ctx, service); err == nil {
+			merge(saved)
+		}
+	})
 	asked := 0
 	for _, m := range c.members.protocol.Table().Members() {
-		if m.ID == c.ID || asked == maxIncidentPeers {
+		if m.ID == c.ID || m.Service != service || asked == maxIncidentPeers {
 			continue
 		}
 		asked++
-		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-		reply, err := c.transport.Control(ctx, peerOf(m), kindIncidents, nil)
-		cancel()
-		var known quarantine.Incidents
-		if err != nil || wire.Unmarshal(reply, &known) != nil {
-			continue
-		}
-		for _, i := range known {
-			c.table.Merge(i, time.Now())
-		}
+		wg.Go(func() {
+			reply, err := c.transport.Control(ctx, peerOf(m), kindIncidents, nil)
+			var list quarantine.Incidents
+			if err == nil && wire.Unmarshal(reply, &list) == nil {
+				merge(list)
+			}
+		})
+	}
+	wg.Wait()
+	if answered.Load() || now.Sub(c.learningSince) >= crashlessStart {
+		c.mu.Lock()
+		c.known = service
+		c.mu.Unlock()
 	}
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -61,6 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.serverProxy.crash.runCtx = ctx
 	if err := n.members.start(ctx, &n.transport, n.advertised(), &n.limits); err != nil {
 		return err
 	}
@@ -92,6 +93,7 @@
 	n.transport.Calls = peerCalls{shards: &n.shards, serverProxy: &n.serverProxy}
 	n.transport.Controls = make(map[string]node.ControlFunc)
 	n.serverProxy.crash.common, n.serverProxy.crash.members, n.serverProxy.crash.transport = shared, &n.members, &n.transport
+	n.serverProxy.crash.rows.Client = n.tableClient()
 	n.serverProxy.crash.addControls(n.transport.Controls)
 	n.config.addControls(n.transport.Controls)
 	n.shards.assemble(n)
@@ -172,7 +174,11 @@
 	n.local.applyDrain(n.config.Current(), n.ID)
 	n.admission.update(n.local.get(), n.ID, n.config.Current())
 	n.admission.tick(now)
-	n.members.announce(now, n.local.get(), n.serverProxy.stopping.Load())
+	server := n.local.get()
+	if !n.serverProxy.crash.knows(server.Service) {
+		server = announcement{}
+	}
+	n.members.announce(now, server, n.serverProxy.stopping.Load())
 	n.members.tick(now)
 	n.shards.tick(now)
 	n.measuring.tick(ctx, now, n.config.Current())
@@ -181,15 +187,11 @@
 	n.telemetry.history.Tick(now, uint64(n.config.Version()))
 }
 
-// syncLoop fetches incidents and newer configurations from other nodes, and adjusts the
-// garbage collector. It does not use the table service, so it never waits for it.
+// syncLoop learns of earlier crashes, fetches newer configurations from other nodes, and
+// adjusts the garbage collector. It does not wait long for the table service.
 func (n *Node) syncLoop(ctx context.Context) {
-	joined := false
 	n.repeat(ctx, func(now time.Time) {
-		if !joined && n.members.protocol.Table().Len() > 1 {
-			joined = true
-			n.serverProxy.crash.fetchIncidents(ctx)
-		}
+		n.serverProxy.crash.learn(ctx, n.local.get().Service, now)
 		n.gcTuner.adjust(now)
 		n.config.pullNewer(ctx)
 	})
--- a/internal/daemon/server_proxy.go
+++ b/internal/daemon/server_proxy.go
@@ -96,6 +96,8 @@
 	switch {
 	case server.Addr == "" || server.Service != r.Service:
 		return server, fault.New(fault.KindNoServer, "node %s has no backend server of service %q", p.ID, r.Service)
+	case !p.crash.knows(server.Service):
+		return server, fault.New(fault.KindNoServer, "node %s does not know yet which requests crash servers", p.ID)
 	case p.stopping.Load():
 		return server, fault.New(fault.KindDraining, "node %s is stopping", p.ID)
 	case server.State == stateDraining:
--- a/internal/mesh/crash_detector.go
+++ b/internal/mesh/crash_detector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/backend"
@@ -17,6 +18,9 @@
 type crashDetector struct {
 	*Options
 	table quarantine.Table
+	// unknown is set in a process that has a predecessor until it knows the crashes of
+	// before its start. The server takes no requests meanwhile.
+	unknown atomic.Bool
 	// notify sends an incident to the other nodes of the service. It returns when all of
 	// them have it or cannot be reached.
 	notify func(i quarantine.Incident)
@@ -97,15 +101,44 @@
 	return done
 }
 
-// receive merges an incident that another node reported.
-func (c *crashDetector) receive(from string, i quarantine.Incident) *fault.Error {
-	if !i.Valid() {
-		return fault.New(fault.KindBadRequest, "incident from node %s is not valid", from).
-			WithRemedy("run the same version on all nodes")
-	}
-	if c.table.Merge(i, time.Now()) {
-		c.Log.WithField("node", from).WithField("server", i.Server).WithField("suspects", len(i.Fingerprints)).
-			WithField("known_cause", i.SoleSuspect != 0).Info("node told of a crash")
+// receive merges the incidents that another node reported.
+func (c *crashDetector) receive(from string, list ...quarantine.Incident) *fault.Error {
+	for _, i := range list {
+		if !i.Valid() {
+			return fault.New(fault.KindBadRequest, "incident from node %s is not valid", from).
+				WithRemedy("run the same version on all nodes")
+		}
+		if c.table.Merge(i, time.Now()) {
+			c.Log.WithField("node", from).WithField("server", i.Server).WithField("suspects", len(i.Fingerprints)).
+				WithField("known_cause", i.SoleSuspect != 0).WithField("age", i.Age).Info("node told of a crash")
+		}
 	}
 	return nil
 }
+
+// maxCrashWait bounds how long a failure is withheld while the other nodes are notified
+// of a crash. It covers a round trip between regions.
+const maxCrashWait = 100 * time.Millisecond
+
+// connectionBroken checks whether the server has crashed, after the connection of a
+// request broke. It returns when the other nodes know of the crash, so that none of them
+// runs the request before, but no later than after maxCrashWait.
+func (p *serverProxy) connectionBroken(ctx context.Context, r call.Request, start quarantine.Start) {
+	ctx, cancel := context.WithTimeout(ctx, maxCrashWait)
+	defer cancel()
+	p.mu.Lock()
+	r.Target = p.server.ID
+	p.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if reported := p.crash.failed(r, start); reported != nil {
+			p.markDown()
+			<-reported
+		}
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/internal/mesh/crash_detector_test.go
+++ b/internal/mesh/crash_detector_test.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -8,10 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/quarantine"
+	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
 // Guards against a request that is sent to another node before that node knows that the
@@ -64,3 +69,42 @@
 		})
 	}
 }
+
+// savingRegistry accepts crashes.
+type savingRegistry struct{ Registry }
+
+// SaveCrash implements Registry.
+func (savingRegistry) SaveCrash(context.Context, string, string, quarantine.Incident) error {
+	return nil
+}
+
+// Guards against a node that runs a request which has crashed servers, because it could
+// not be reached when another node reported the crash.
+func TestCrashReportReachesNodeThatMissedIt(t *testing.T) {
+	const content = quarantine.Fingerprint(7)
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	to := newEntry("n1", 1)
+	to.Addr = reserved.Addr().String()
+	assert.NilError(t, reserved.Close())
+	newNode := func(name string) *Node {
+		n := &Node{Options: Options{Node: name, Service: to.Service, Fresh: true, Registry: savingRegistry{}, Log: &log.Logger{Handler: discard.New()}}}
+		n.assemble()
+		n.runCtx = t.Context()
+		t.Cleanup(n.peers.Close)
+		return n
+	}
+	near, far := newNode("n0"), newNode("n1")
+	near.directory.merge([]roster.Entry{to}, time.Now())
+	near.serverProxy.crash.table.Merge(quarantine.Incident{ID: 1, Fingerprints: quarantine.Fingerprints{content}}, time.Now())
+	near.notifyCrash(quarantine.Incident{ID: 1, Fingerprints: quarantine.Fingerprints{content}})
+	assert.Assert(t, near.directory.servers(to.Service, nil)[0].Unreachable)
+
+	far.announcer.mu.Lock()
+	far.announcer.own = to
+	far.announcer.mu.Unlock()
+	assert.NilError(t, far.peerServer.Listen(to.Addr))
+	t.Cleanup(far.peerServer.Close)
+	prober{&near.announcer}.probe(t.Context(), to)
+	assert.Equal(t, far.serverProxy.crash.table.Check(content, time.Now()), quarantine.Alone)
+}
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -31,7 +31,7 @@
 	for start := time.Now(); time.Since(start) < serverNameTimeout && !n.serverProxy.serverKnown(); {
 		clock.Sleep(n.runCtx, serverNameTimeout/10)
 	}
-	n.restore()
+	restored := n.restore()
 	n.announcer.update(n.runCtx, func(e *roster.Entry) {
 		n.serverProxy.describe(e)
 		if n.Fresh {
@@ -56,6 +56,9 @@
 		entries[i] = m.Entry
 	}
 	n.directory.merge(entries, time.Now())
+	if !restored {
+		n.restoreCrashes(members)
+	}
 	if e, ok := n.directory.entry(n.Node()); ok && e.Start > n.announcer.entry().Start {
 		n.announcer.advanceStart(n.runCtx, e.Start)
 	}
@@ -65,16 +68,18 @@
 	n.announcer.notifyAll(n.runCtx, n.announcer.informed(members))
 }
 
-// restore takes over the state of an earlier process of this node from the registry. If
-// the registry does not answer, this is done before the entry is written.
-func (n *Node) restore() {
+// restore takes over the state of an earlier process of this node from the registry, and
+// returns false if crashes are still to be restored. If the registry does not answer, the
+// entry of the earlier process is taken over before the new one is written.
+func (n *Node) restore() bool {
 	if n.Fresh {
-		return
+		return true
 	}
 	members, err := n.Registry.Members(n.runCtx)
 	if err != nil {
 		n.Log.WithError(err).Warn("cannot read the entry of the earlier process yet")
-		return
+		time.AfterFunc(crashlessStart, n.crashesKnown)
+		return false
 	}
 	n.serverProxy.suggestLimit(initialLimit(members, n.Node(), n.Service))
 	var own Member
@@ -84,6 +89,7 @@
 		}
 	}
 	n.announcer.found(n.runCtx, own)
+	return n.restoreCrashes(members)
 }
 
 // takeOver takes over from an entry of an earlier process that the server is leaving.
--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -116,12 +116,13 @@
 // false if that is not the current server.
 func (p *serverProxy) deregister(id string, startTime int64) bool {
 	p.mu.Lock()
+	already := p.server.ID == id && p.server.State == roster.Gone
 	known := p.server.MarkGone(id, startTime, time.Now())
 	if known {
 		p.limiter.SetClosed(true)
 	}
 	p.mu.Unlock()
-	if known {
+	if known && !already {
 		p.Log.WithField("server", id).Info("backend server left")
 		p.changed()
 	}
@@ -147,6 +148,9 @@
 	defer p.mu.Unlock()
 	e.Limit = p.limiter.Limit.Current()
 	e.Server, e.State, e.Slots, e.WarmUp = p.server.ID, p.server.State, p.limiter.Limit.Slots(), p.server.WarmUp
+	if p.crash.unknown.Load() && e.State == roster.Ready {
+		e.State = roster.Absent
+	}
 	e.Leaving, e.Born = p.server.Leaving(), 0
 	if e.Leaving {
 		e.Born = p.server.StartTime
--- a/internal/mesh/local_server_test.go
+++ b/internal/mesh/local_server_test.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/uplink"
 )
@@ -91,4 +92,10 @@
 	members []Member
 }
 
+// Members implements Registry.
 func (l *listRegistry) Members(context.Context) ([]Member, error) { return l.members, nil }
+
+// Crashes implements Registry.
+func (l *listRegistry) Crashes(context.Context, string) ([]quarantine.Incident, error) {
+	return nil, nil
+}
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -16,7 +16,7 @@
 )
 
 // message is the head of a request between nodes. Exactly one of Call, Reserve,
-// Update, Entries, Fetch, Follow and Crash is set.
+// Update, Entries, Fetch, Follow, Crash, Crashes and AskCrashes is set.
 type message struct {
 	Call *call.Request `msgpack:"c,omitempty"`
 	// Reserve is a request without its body, for which a slot is to be reserved.
@@ -35,6 +35,10 @@
 	Patch *patchInfo `msgpack:"p,omitempty"`
 	// Crash reports a crash of the sender's backend server.
 	Crash *quarantine.Incident `msgpack:"x,omitempty"`
+	// Crashes are the crashes that the sender knows, for a node that may have missed them,
+	// and AskCrashes asks for those that the receiver knows.
+	Crashes    quarantine.Incidents `msgpack:"i,omitempty"`
+	AskCrashes bool                 `msgpack:"q,omitempty"`
 	// Version is the configuration that the sender of a Call or Reserve has.
 	Version uint64 `msgpack:"v,omitempty"`
 }
@@ -95,6 +99,8 @@
 	Entries  entries `msgpack:"z,omitempty"`
 	// Unknown are those of the sender's marks that the relay does not know.
 	Unknown []byte `msgpack:"u,omitempty"`
+	// Crashes answers AskCrashes.
+	Crashes quarantine.Incidents `msgpack:"i,omitempty"`
 	// Version is the configuration that the node has.
 	Version uint64 `msgpack:"v,omitempty"`
 }
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +15,6 @@
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
-	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
@@ -115,8 +113,9 @@
 	n.follower.relays, n.follower.askRelay = n.relays, n.announcer.fetchNext
 	n.announcer.Options, n.announcer.directory, n.announcer.follower, n.announcer.peers = o, &n.directory, &n.follower, &n.peers
 	n.entryRelay.announcer = &n.announcer
-	n.announcer.earlier, n.announcer.rowKnown = n.takeOver, o.Fresh
+	n.announcer.earlier, n.announcer.rowKnown, n.announcer.reached = n.takeOver, o.Fresh, n.sendCrashes
 	if !o.Fresh {
+		n.serverProxy.crash.unknown.Store(true)
 		n.serverProxy.doubtUntil = time.Now().Add(roster.MaxReportDelay)
 	}
 	n.announcer.own = roster.Entry{
@@ -244,28 +243,6 @@
 	n.announcer.update(n.runCtx, func(e *roster.Entry) { n.serverProxy.describe(e) })
 }
 
-// notifyCrash sends an incident to the nodes that may get the requests in flight
-// next, and waits for their replies.
-func (n *Node) notifyCrash(i quarantine.Incident) {
-	head, err := encode(message{Crash: &i})
-	if err != nil {
-		n.Log.WithError(err).Error("cannot encode the incident")
-		return
-	}
-	var wg sync.WaitGroup
-	for _, to := range n.directory.others() {
-		if to.Service != n.Service {
-			continue
-		}
-		wg.Go(func() {
-			if _, err := n.announcer.request(n.runCtx, to, head); err != nil {
-				n.Log.WithError(err).WithField("node", to.Node).Info("cannot notify node of a crash")
-			}
-		})
-	}
-	wg.Wait()
-}
-
 // onApplied is called when a new configuration is in force.
 func (n *Node) onApplied(t *route.Table) {
 	if s, ok := t.Service(n.Service); ok {
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -14,6 +14,7 @@
 	"github.com/vanillasail/vanillasail/internal/backend"
 	"github.com/vanillasail/vanillasail/internal/caller"
 	"github.com/vanillasail/vanillasail/pkg/placement"
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
 )
@@ -29,6 +30,11 @@
 	Publish(ctx context.Context, e roster.Entry, position uint64) (WriteResult, error)
 	// Withdraw removes the entry of a node unless it has changed.
 	Withdraw(ctx context.Context, e roster.Entry) error
+	// SaveCrash saves a crash of the server beside a node, so that it outlasts a restart of
+	// all nodes of the service. The number that is kept of each node is bounded.
+	SaveCrash(ctx context.Context, service, node string, i quarantine.Incident) error
+	// Crashes returns the saved crashes of a service with their ages.
+	Crashes(ctx context.Context, service string) ([]quarantine.Incident, error)
 	// Configuration returns the newest configuration and its raw form.
 	Configuration(ctx context.Context) (Snapshot, error)
 	// AwaitChange returns the next configuration after a position. It waits at most
--- a/internal/mesh/peer_messages.go
+++ b/internal/mesh/peer_messages.go
@@ -31,6 +31,10 @@
 		return n.configuration(raw, err, m.Patch)
 	case m.Crash != nil:
 		return n.reply(response{Fault: n.serverProxy.crash.receive(string(in.From), *m.Crash)}, nil)
+	case m.Crashes != nil:
+		return n.reply(response{Fault: n.serverProxy.crash.receive(string(in.From), m.Crashes...)}, nil)
+	case m.AskCrashes:
+		return n.reply(n.knownCrashes(), nil)
 	case m.Call == nil && m.Reserve == nil:
 		return n.reply(response{Fault: fault.New(fault.KindBadRequest, "message of a peer contains no request")}, nil)
 	}
@@ -74,6 +78,13 @@
 	if !u.Entry.Leaving {
 		reply.Update.Left = left
 	}
+	if n.serverProxy.crash.unknown.Load() && u.Entry.Service == n.Service {
+		go func() {
+			if n.askCrashes(n.runCtx, u.Entry) {
+				n.crashesKnown()
+			}
+		}()
+	}
 	if !n.joined.Load() || n.stopping.Load() {
 		return reply
 	}
--- a/internal/mesh/prober.go
+++ b/internal/mesh/prober.go
@@ -31,6 +31,9 @@
 	reply, err := p.exchange(ctx, to, p.entry())
 	if err == nil && reply != nil {
 		p.receive(ctx, *reply)
+		if p.reached != nil {
+			p.reached(reply.Entry)
+		}
 	}
 }
 
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -133,33 +133,6 @@
 	return sendResult{answer: answer, load: answer.Load, ran: true, calls: calls}
 }
 
-// maxCrashWait bounds how long a failure is withheld while the other nodes are notified
-// of a crash. It covers a round trip between regions.
-const maxCrashWait = 100 * time.Millisecond
-
-// connectionBroken checks whether the server has crashed, after the connection of a
-// request broke. It returns when the other nodes know of the crash, so that none of them
-// runs the request before, but no later than after maxCrashWait.
-func (p *serverProxy) connectionBroken(ctx context.Context, r call.Request, start quarantine.Start) {
-	ctx, cancel := context.WithTimeout(ctx, maxCrashWait)
-	defer cancel()
-	p.mu.Lock()
-	r.Target = p.server.ID
-	p.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if reported := p.crash.failed(r, start); reported != nil {
-			p.markDown()
-			<-reported
-		}
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // release frees the slot of a request that did not begin.
 func (p *serverProxy) release(run *slots.Run) {
 	p.mu.Lock()
@@ -247,6 +220,8 @@
 // The caller holds p.mu.
 func (p *serverProxy) refusal(r call.Request) *fault.Error {
 	switch {
+	case p.crash.unknown.Load():
+		return fault.New(fault.KindNoServer, "node %s does not know yet which requests crash servers", p.Node).WithWait(retry.MinWait)
 	case p.server.ID == "" || p.down:
 		return fault.New(fault.KindNoServer, "no server runs beside node %s", p.Node).WithWait(retry.MinWait)
 	case r.Service != p.Service:
--- a/internal/mesh/start_test.go
+++ b/internal/mesh/start_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/quarantine"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
@@ -31,6 +32,11 @@
 	return WriteResult{}, errDown
 }
 
+// Crashes implements Registry.
+func (downRegistry) Crashes(context.Context, string) ([]quarantine.Incident, error) {
+	return nil, errDown
+}
+
 // Configuration implements Registry.
 func (downRegistry) Configuration(context.Context) (Snapshot, error) { return Snapshot{}, errDown }
 
