Open a restarted node once the saved crashes are read

Cause: a node that starts waited for all of the nodes that it asks for crashes, up to 300 ms, also when the store had answered.

Change: the first answer of a node is enough, and where the store has answered nodes are awaited for 50 ms in all. Later answers are merged as they come.

--- a/internal/mesh/crash_detector_test.go
+++ b/internal/mesh/crash_detector_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -108,3 +109,38 @@
 	prober{&near.announcer}.probe(t.Context(), to)
 	assert.Equal(t, far.serverProxy.crash.table.Check(content, time.Now()), quarantine.Alone)
 }
+
+// Guards against a node that starts late because hosts that are gone do not answer, that
+// serves although nobody has told it of crashes, and that does not wait for its peers.
+func TestAwaitCrashes(t *testing.T) {
+	const never = time.Hour
+	for name, c := range map[string]struct {
+		saved, peer     time.Duration
+		savedOK, peerOK bool
+		asked           int
+		want            bool
+		took            time.Duration
+	}{
+		"peer first":                  {never, 20 * time.Millisecond, true, true, 2, true, 20 * time.Millisecond},
+		"registry first, then a peer": {5 * time.Millisecond, 20 * time.Millisecond, true, true, 2, true, 20 * time.Millisecond},
+		"peers are gone":              {5 * time.Millisecond, crashAskTimeout, true, false, 2, true, crashPeerWait},
+		"peers refuse":                {5 * time.Millisecond, 10 * time.Millisecond, true, false, 2, true, 10 * time.Millisecond},
+		"no peers":                    {5 * time.Millisecond, never, true, false, 0, true, 5 * time.Millisecond},
+		"registry is slow":            {time.Second, crashAskTimeout, true, false, 2, true, time.Second},
+		"nobody answers":              {time.Second, crashAskTimeout, false, false, 2, false, time.Second},
+		"registry down, peer slow":    {0, 200 * time.Millisecond, false, true, 2, true, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				saved, peers := make(chan bool, 1), make(chan bool, maxCrashPeers)
+				defer time.AfterFunc(c.saved, func() { saved <- c.savedOK }).Stop()
+				for range c.asked {
+					defer time.AfterFunc(c.peer, func() { peers <- c.peerOK }).Stop()
+				}
+				began := time.Now()
+				assert.Equal(t, awaitCrashes(saved, peers, c.asked), c.want)
+				assert.Equal(t, time.Since(began), c.took)
+			})
+		})
+	}
+}
--- a/internal/mesh/crash_reports.go
+++ b/internal/mesh/crash_reports.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/crash"
@@ -18,6 +17,9 @@
 	maxCrashPeers = 3
 	// crashAskTimeout bounds the wait for them. Hosts that are gone do not answer.
 	crashAskTimeout = 300 * time.Millisecond
+	// crashPeerWait is how long they are awaited if the registry has answered. It covers
+	// two round trips between regions.
+	crashPeerWait = 50 * time.Millisecond
 	// crashlessStart is how long after its start a node that can ask nobody lets its
 	// server take requests all the same.
 	crashlessStart = 2 * time.Second
@@ -59,20 +61,11 @@
 }
 
 // restoreCrashes gets the crashes of before the start of this process from the registry
-// and some nodes of the service, and reports whether any of them has answered. The server
-// takes requests after that.
+// and some nodes of the service, and reports whether they are known. The server takes
+// requests after that.
 func (n *Node) restoreCrashes(members []Member) bool {
-	var wg sync.WaitGroup
-	var answered atomic.Bool
-	wg.Go(func() {
-		saved, err := n.Registry.Crashes(n.runCtx, n.Service)
-		if err != nil {
-			n.Log.WithError(err).Warn("cannot read the saved crashes")
-			return
-		}
-		answered.Store(true)
-		n.mergeCrashes("registry", saved)
-	})
+	saved, peers := make(chan bool, 1), make(chan bool, maxCrashPeers)
+	go func() { saved <- n.readCrashes() }()
 	asked := 0
 	for _, i := range rand.Perm(len(members)) {
 		to := members[i].Entry
@@ -80,21 +73,54 @@
 			continue
 		}
 		asked++
-		wg.Go(func() {
+		go func() {
 			ctx, cancel := context.WithTimeout(n.runCtx, crashAskTimeout)
 			defer cancel()
-			if n.askCrashes(ctx, to) {
-				answered.Store(true)
-			}
-		})
+			peers <- n.askCrashes(ctx, to)
+		}()
 	}
-	wg.Wait()
-	if answered.Load() {
+	known := awaitCrashes(saved, peers, asked)
+	if known {
 		n.crashesKnown()
 	} else {
 		time.AfterFunc(crashlessStart, n.crashesKnown)
 	}
-	return answered.Load()
+	return known
+}
+
+// awaitCrashes returns true when a node has answered, or when the registry has and no node
+// does so soon. It returns false when neither does.
+func awaitCrashes(saved, peers <-chan bool, asked int) bool {
+	soon := time.NewTimer(crashPeerWait)
+	defer soon.Stop()
+	var read, unread, waited bool
+	for {
+		select {
+		case ok := <-saved:
+			read, unread = ok, !ok
+		case ok := <-peers:
+			if ok {
+				return true
+			}
+			asked--
+		case <-soon.C:
+			waited = true
+		}
+		if read && (waited || asked == 0) || unread && asked == 0 {
+			return read
+		}
+	}
+}
+
+// readCrashes merges the crashes that the registry has, and reports whether it has answered.
+func (n *Node) readCrashes() bool {
+	list, err := n.Registry.Crashes(n.runCtx, n.Service)
+	if err != nil {
+		n.Log.WithError(err).Warn("cannot read the saved crashes")
+		return false
+	}
+	n.mergeCrashes("registry", list)
+	return true
 }
 
 // askCrashes merges the crashes that a node knows, and reports whether it has answered.
