Report when a node knew of a configuration, and what its parts took

Change: 'configuration in force' has behind, fetch, decode and apply; 'newer configuration known' and failed fetches name the versions; three metrics. pkg/lag tracks since when newer versions are known. Result: no change of logic; tests of internal/mesh, internal/store and pkg/lag pass.

--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -14,7 +14,11 @@
 // fetchIfNewer fetches the configuration of another node in the background if its
 // version is newer and no other fetch is running.
 func (a *announcer) fetchIfNewer(ctx context.Context, version uint64, from roster.Entry) {
-	if version <= a.follower.version() || !a.fetching.CompareAndSwap(false, true) {
+	if version <= a.follower.version() {
+		return
+	}
+	a.follower.seen(version, from.Node)
+	if !a.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -25,9 +29,12 @@
 
 // fetch fetches the configuration of another node and puts it in force.
 func (a *announcer) fetch(ctx context.Context, from roster.Entry) {
-	err := a.fetchFrom(ctx, from)
-	if err != nil {
-		a.Log.WithError(err).WithField("node", from.Node).Warn("configuration of another node not taken")
+	start := time.Now()
+	if err := a.fetchFrom(ctx, from); err != nil {
+		a.follower.failedFetches.Add(1)
+		a.Log.WithError(err).WithField("node", from.Node).WithField("took", time.Since(start)).
+			WithField("version", a.follower.version()).WithField("newest", a.follower.lag.Newest()).
+			WithField("behind", a.follower.lag.Behind(time.Now())).Warn("configuration of another node not taken")
 	}
 }
 
@@ -66,10 +73,12 @@
 	if reply.Fault != nil {
 		return Snapshot{}, reply.Fault
 	}
+	start := time.Now()
 	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxConfiguration))
 	if err != nil {
 		return Snapshot{}, eris.Wrap(err, "read the configuration of another node")
 	}
+	read := time.Now()
 	transferred := len(raw)
 	if p := reply.Patch; p != nil {
 		if p.Base != digest {
@@ -80,5 +89,7 @@
 		}
 	}
 	document, err := a.Registry.Decode(raw)
-	return Snapshot{Document: document, Raw: raw, Transferred: transferred}, err
+	return Snapshot{
+		Document: document, Raw: raw, Transferred: transferred, Fetch: read.Sub(start), Decode: time.Since(read),
+	}, err
 }
--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillasail/vanillasail/internal/clock"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/lag"
 	"github.com/vanillasail/vanillasail/pkg/retry"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
@@ -48,6 +49,10 @@
 
 	// patches makes patches to the configuration in force.
 	patches patches
+	// lag tracks for how long newer versions have been known.
+	lag lag.Tracker
+	// failedFetches counts the fetches from other nodes that failed.
+	failedFetches atomic.Int64
 
 	mu    sync.Mutex
 	raw   []byte
@@ -94,17 +99,28 @@
 		f.mu.Unlock()
 		return
 	}
+	start := time.Now()
 	table := route.NewTable(v.Document)
 	f.raw = v.Raw
 	f.patches.add(v.Raw)
 	f.table.Store(table)
 	f.notifyChanged()
 	f.mu.Unlock()
+	now := time.Now()
 	f.Log.WithField("version", v.Document.Version).WithField("routes", len(v.Document.Routes)).
-		WithField("from", from).WithField("bytes", v.Transferred).Info("configuration in force")
+		WithField("from", from).WithField("bytes", v.Transferred).WithField("behind", f.lag.Applied(v.Document.Version, now)).
+		WithField("fetch", v.Fetch).WithField("decode", v.Decode).WithField("apply", now.Sub(start)).Info("configuration in force")
 	f.onApplied(table)
 }
 
+// seen records that another node has a version.
+func (f *follower) seen(version uint64, node string) {
+	if f.lag.Seen(version, time.Now()) {
+		f.Log.WithField("version", version).WithField("node", node).WithField("own", f.version()).
+			Info("newer configuration known")
+	}
+}
+
 func registryWait(down bool) time.Duration {
 	if down {
 		return outageWait
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -336,8 +336,8 @@
 func (n *Node) MetricsText() string {
 	load := n.serverProxy.load()
 	return n.requestMetrics.text() + fmt.Sprintf(
-		"vanillasail_server_running %d\nvanillasail_server_waiting %d\nvanillasail_server_limit %d\nvanillasail_server_slots %d\nvanillasail_server_pace %.2f\nvanillasail_nodes %d\nvanillasail_links %d\nvanillasail_configuration_version %d\nvanillasail_late_acknowledgements_total %d\nvanillasail_cut_connections_total %d\n",
-		load.InFlight, load.Queued, load.Limit, load.Slots, load.Slowdown, n.directory.count(), n.peers.Links(), n.follower.version(), n.lateAcks.Load(), n.cuts.Load())
+		"vanillasail_server_running %d\nvanillasail_server_waiting %d\nvanillasail_server_limit %d\nvanillasail_server_slots %d\nvanillasail_server_pace %.2f\nvanillasail_nodes %d\nvanillasail_links %d\nvanillasail_configuration_version %d\nvanillasail_configuration_newest %d\nvanillasail_configuration_behind_seconds %.3f\nvanillasail_configuration_failed_fetches_total %d\nvanillasail_late_acknowledgements_total %d\nvanillasail_cut_connections_total %d\n",
+		load.InFlight, load.Queued, load.Limit, load.Slots, load.Slowdown, n.directory.count(), n.peers.Links(), n.follower.version(), n.follower.lag.Newest(), n.follower.lag.Behind(time.Now()).Seconds(), n.follower.failedFetches.Load(), n.lateAcks.Load(), n.cuts.Load())
 }
 
 // CallerAddr returns the address on which callers are served.
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -66,6 +66,9 @@
 	Raw      []byte
 	// Transferred is the number of bytes that were read.
 	Transferred int
+	// Fetch is how long it took to read them, without the wait for the first one, and
+	// Decode how long to decode them.
+	Fetch, Decode time.Duration
 	// Position is the position from which to wait for the next change.
 	Position uint64
 	// Clock is the registry's monotonic clock at the answer; zero where it is not
--- a/internal/store/endpoint.go
+++ b/internal/store/endpoint.go
@@ -66,6 +66,8 @@
 type Reply struct {
 	Header http.Header
 	Body   []byte
+	// Transfer is how long it took to read Body.
+	Transfer time.Duration
 }
 
 // CheckKey returns an error for keys that would be changed in a URL path.
@@ -109,11 +111,14 @@
 		return Reply{}, noReplyError(r, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	start := time.Now()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
 	if err == nil && len(body) > maxReply {
 		err = eris.Errorf("reply is longer than %d bytes", maxReply)
 	}
-	return classify(r, resp, body, err)
+	reply, failure := classify(r, resp, body, err)
+	reply.Transfer = time.Since(start)
+	return reply, failure
 }
 
 func (e Endpoint) newRequest(ctx context.Context, r Request) (*http.Request, error) {
