--- /dev/null
+++ b/internal/mesh/fetch_test.go
@@ -0,0 +1,94 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/roster"
+	"github.com/vanillasail/vanillasail/pkg/route"
+)
+
+// countingRegistry counts the configurations that are decoded.
+type countingRegistry struct {
+	versionRegistry
+	decoded atomic.Int32
+}
+
+// Decode implements Registry.
+func (r *countingRegistry) Decode(raw []byte) (*route.Document, error) {
+	r.decoded.Add(1)
+	return r.versionRegistry.Decode(raw)
+}
+
+// slowUplink is a link that takes a time for each part of an answer.
+type slowUplink time.Duration
+
+// Schedule implements peer.Uplink.
+func (u slowUplink) Schedule(int, time.Time) time.Duration { return time.Duration(u) }
+
+// newFetch returns a node with version 1 and the entry of one with the given configuration,
+// which is sent over a link.
+func newFetch(t *testing.T, raw []byte, link peer.Uplink) (a *announcer, decoded *atomic.Int32, to roster.Entry) {
+	far := &Node{Options: Options{Node: "n1", Log: &log.Logger{Handler: discard.New()}}}
+	far.assemble()
+	v := document(2)
+	v.Raw = raw
+	far.follower.apply(v, "test")
+	far.peerServer.Uplink = link
+	assert.NilError(t, far.peerServer.Listen("127.0.0.1:0"))
+	t.Cleanup(far.peerServer.Close)
+	to = newEntry("n1", 2)
+	to.Addr = far.peerServer.Addr()
+	registry := &countingRegistry{}
+	a = &announcer{Options: &Options{Registry: registry}, directory: newDirectory(), follower: newFollower(registry), peers: &peer.Client{}}
+	a.Options.Log, a.own = a.directory.Log, newEntry("n0", 1)
+	t.Cleanup(a.peers.Close)
+	a.follower.apply(document(1), "test")
+	a.directory.merge([]roster.Entry{to}, epoch)
+	return a, &registry.decoded, to
+}
+
+// Guards against a configuration that is decoded once for each node that sends it.
+func TestVersionIsDecodedOnce(t *testing.T) {
+	for name, fetchTwice := range map[string]func(fetch func()){
+		"one after the other": func(fetch func()) { fetch(); fetch() },
+		"at the same time": func(fetch func()) {
+			var wg sync.WaitGroup
+			wg.Go(fetch)
+			wg.Go(fetch)
+			wg.Wait()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, decoded, to := newFetch(t, []byte{2}, nil)
+			fetchTwice(func() { assert.Check(t, a.fetchFrom(t.Context(), to)) })
+			assert.Equal(t, a.follower.version(), uint64(2))
+			assert.Equal(t, decoded.Load(), int32(1))
+		})
+	}
+}
+
+// Guards against a long configuration that is broken off and begun again for as long as the
+// link of the other node is busy.
+func TestFetchOutlivesBusyLink(t *testing.T) {
+	raw := make([]byte, 200<<10)
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range raw {
+		raw[i] = byte(random.Uint32()) // does not compress
+	}
+	raw[0] = 2
+	a, _, to := newFetch(t, raw, slowUplink(150*time.Millisecond))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, a.fetchFrom(ctx, to))
+	assert.Equal(t, a.follower.version(), uint64(2))
+}
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -151,3 +151,44 @@
 		})
 	}
 }
+
+// expiringRegistry has dropped the history when it is first asked for a change.
+type expiringRegistry struct {
+	fakeRegistry
+	expired atomic.Bool
+}
+
+func (r *expiringRegistry) AwaitChange(ctx context.Context, position uint64, wait time.Duration) (Snapshot, error) {
+	if r.expired.CompareAndSwap(false, true) {
+		r.calls.Add(1)
+		return Snapshot{}, fault.New(fault.KindExpired, "history dropped")
+	}
+	return r.fakeRegistry.AwaitChange(ctx, position, wait)
+}
+
+// Guards against a node that turns its followers away because the registry no longer has
+// the changes since this node last asked, which it has not while it followed relays.
+func TestDroppedHistoryIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &expiringRegistry{fakeRegistry: fakeRegistry{next: make(chan Snapshot, 1)}}
+		f := newFollower(r)
+		var outages atomic.Int32
+		f.onOutage = func(context.Context) { outages.Add(1) }
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.run(ctx)
+		follow, stop := context.WithCancel(t.Context())
+		var refused atomic.Pointer[fault.Error]
+		go func() {
+			_, err := f.relay(follow, func() bool { return false }, 1)
+			refused.Store(err)
+		}()
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, r.expired.Load())
+		assert.Equal(t, outages.Load(), int32(0))
+		assert.Assert(t, refused.Load() == nil)
+		assert.Equal(t, r.calls.Load(), int32(4), "read, change, read, change")
+		stop()
+		cancel()
+		synctest.Wait()
+	})
+}
