--- a/pkg/route/document.go
+++ b/pkg/route/document.go
@@ -74,17 +74,18 @@
 		}
 		services[s.Name] = true
 	}
-	hostPrefixes := make(map[string]bool, len(d.Routes))
+	type hostPrefix struct{ host, prefix string }
+	seen := make(map[hostPrefix]bool, len(d.Routes))
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		if err := r.check(services); err != nil {
 			return err
 		}
-		hostPrefix := r.Host + r.Prefix
-		if hostPrefixes[hostPrefix] {
+		key := hostPrefix{r.Host, r.Prefix}
+		if seen[key] {
 			return invalid("two routes have the host %q and prefix %q", r.Host, r.Prefix)
 		}
-		hostPrefixes[hostPrefix] = true
+		seen[key] = true
 	}
 	return nil
 }
