Decode a version once, and let its transfer outlast a busy link

Nodes that knew of a newer configuration served an older one for seconds. Cause: each copy of a version was decoded, from two relays and from a node that had named it, before its version was compared; and a fetch had one second in all, so that a document over a busy link was broken off and begun again. Change: the answer names the version, one that is in force is not read, and copies are decoded one after the other (follower.take). A fetch may take 10 s, the pings of the connection end it at a lost node, and another node is asked beside it after a second, up to three.

--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/peer"
@@ -65,8 +64,8 @@
 	reached        func(e roster.Entry)
 	publishing     bool
 	retryScheduled bool
-	// fetching is set while the configuration of another node is fetched.
-	fetching atomic.Bool
+	// fetches are those of newer configurations that messages of other nodes have shown.
+	fetches fetches
 }
 
 // update changes the entry of this node, sends it to all other nodes and publishes
--- a/internal/mesh/announcer_test.go
+++ b/internal/mesh/announcer_test.go
@@ -67,12 +67,8 @@
 			a.notify(ctx, to.Node)
 			return nil
 		},
-		"configuration": func(ctx context.Context, a *announcer, to roster.Entry) error { return a.fetchFrom(ctx, to) },
-		"relayed configuration": func(ctx context.Context, a *announcer, to roster.Entry) error {
-			v, err := a.fetchNext(ctx, to)
-			a.follower.apply(v, to.Node)
-			return err
-		},
+		"configuration":         func(ctx context.Context, a *announcer, to roster.Entry) error { return a.fetchFrom(ctx, to) },
+		"relayed configuration": func(ctx context.Context, a *announcer, to roster.Entry) error { return a.fetchNext(ctx, to) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			far := &Node{Options: Options{Node: "n1", Log: &log.Logger{Handler: discard.New()}}}
@@ -89,7 +85,7 @@
 			far.announcer.own = to
 			far.announcer.mu.Unlock()
 
-			a := &announcer{Options: &Options{Registry: versionRegistry{}}, directory: newDirectory(), follower: newFollower(nil), peers: &peer.Client{AckTimeout: 20 * time.Millisecond}}
+			a := &announcer{Options: &Options{Registry: versionRegistry{}}, directory: newDirectory(), follower: newFollower(versionRegistry{}), peers: &peer.Client{AckTimeout: 20 * time.Millisecond}}
 			a.Options.Log, a.own = a.directory.Log, newEntry("n0", 1)
 			t.Cleanup(a.peers.Close)
 			a.directory.merge([]roster.Entry{to}, epoch)
--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -11,19 +11,55 @@
 	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
+const (
+	// fetchTimeout bounds a fetch of the configuration from another node. A node that is
+	// lost is noticed sooner, by the pings of its connection; one that answers may have a
+	// link that is busy for seconds.
+	fetchTimeout = 10 * time.Second
+	// fetchPatience is how long a fetch may take before another node is asked too, and
+	// maxFetches how many are asked at a time.
+	fetchPatience = time.Second
+	maxFetches    = 3
+)
+
+// fetches are the running fetches of the configuration. It is used under announcer.mu.
+type fetches struct {
+	// running holds the nodes that are asked.
+	running map[string]bool
+	// last is when the last fetch began.
+	last time.Time
+}
+
+// begin reports whether a node is to be asked now.
+func (f *fetches) begin(node string, now time.Time) bool {
+	if f.running[node] || len(f.running) >= maxFetches || len(f.running) > 0 && now.Sub(f.last) < fetchPatience {
+		return false
+	}
+	if f.running == nil {
+		f.running = make(map[string]bool)
+	}
+	f.running[node], f.last = true, now
+	return true
+}
+
 // fetchIfNewer fetches the configuration of another node in the background if its
-// version is newer and no other fetch is running.
+// version is newer and no other fetch has begun recently.
 func (a *announcer) fetchIfNewer(ctx context.Context, version uint64, from roster.Entry) {
 	if version <= a.follower.version() {
 		return
 	}
 	a.follower.seen(version, from.Node)
-	if !a.fetching.CompareAndSwap(false, true) {
+	a.mu.Lock()
+	begin := a.fetches.begin(from.Node, time.Now())
+	a.mu.Unlock()
+	if !begin {
 		return
 	}
 	go func() {
-		defer a.fetching.Store(false)
 		a.fetch(ctx, from)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.fetches.running, from.Node)
 	}()
 }
 
@@ -39,57 +75,88 @@
 }
 
 func (a *announcer) fetchFrom(ctx context.Context, from roster.Entry) error {
-	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	v, err := a.requestConfiguration(ctx, from, message{Fetch: true})
-	if err != nil {
-		return err
-	}
-	a.follower.apply(v, "node "+from.Node)
-	return nil
+	return a.requestConfiguration(ctx, from, message{Fetch: true})
 }
 
-// requestConfiguration sends a message whose answer is a configuration or a patch to it.
-func (a *announcer) requestConfiguration(ctx context.Context, from roster.Entry, m message) (Snapshot, error) {
+// requestConfiguration sends a message whose answer is a configuration or a patch to it,
+// and puts it in force if it is newer.
+func (a *announcer) requestConfiguration(ctx context.Context, from roster.Entry, m message) error {
 	base, digest := a.follower.patches.base()
 	m.Patch = &patchInfo{Base: digest}
 	head, err := encode(m)
 	if err != nil {
-		return Snapshot{}, err
+		return err
 	}
 	answer, err := a.call(ctx, from.Addr, head)
 	if err != nil {
 		if ctx.Err() == nil {
 			a.directory.markUnreachable(from.Node, err, time.Now())
 		}
-		return Snapshot{}, err
+		return err
 	}
 	defer answer.Body.Close()
 	a.directory.markReachable(from.Node)
 	var reply response
 	if err := wire.Unmarshal(answer.Head, &reply); err != nil {
-		return Snapshot{}, eris.Wrap(err, "reply of another node")
+		return eris.Wrap(err, "reply of another node")
 	}
 	if reply.Fault != nil {
-		return Snapshot{}, reply.Fault
+		return reply.Fault
+	}
+	if a.follower.has(reply.Version) {
+		return nil
 	}
 	start := time.Now()
 	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxConfiguration))
 	if err != nil {
-		return Snapshot{}, eris.Wrap(err, "read the configuration of another node")
+		return eris.Wrap(err, "read the configuration of another node")
 	}
-	read := time.Now()
-	transferred := len(raw)
-	if p := reply.Patch; p != nil {
-		if p.Base != digest {
-			base = nil
-		}
-		if raw, err = wire.Apply(raw, base, maxConfiguration); err != nil {
-			return Snapshot{}, eris.Wrap(err, "configuration of another node")
+	if p := reply.Patch; p != nil && p.Base != digest {
+		base = nil
+	}
+	return a.follower.take(received{
+		raw: raw, base: base, patch: reply.Patch != nil, version: reply.Version, from: from.Node, fetch: time.Since(start),
+	})
+}
+
+// received is a configuration as another node has sent it.
+type received struct {
+	// raw is the document, or a patch to base.
+	raw, base []byte
+	patch     bool
+	// version is zero if the node did not name it.
+	version uint64
+	from    string
+	// fetch is how long it took to read.
+	fetch time.Duration
+}
+
+// has reports whether a version or a newer one is in force. It does not if the version is
+// not known, which is zero.
+func (f *follower) has(version uint64) bool { return version != 0 && version <= f.version() }
+
+// take decodes a configuration and puts it in force, unless it came from another node
+// meanwhile.
+func (f *follower) take(r received) error {
+	f.decoding.Lock()
+	defer f.decoding.Unlock()
+	if f.has(r.version) {
+		return nil
+	}
+	start := time.Now()
+	raw := r.raw
+	if r.patch {
+		var err error
+		if raw, err = wire.Apply(r.raw, r.base, maxConfiguration); err != nil {
+			return eris.Wrap(err, "configuration of another node")
 		}
 	}
-	document, err := a.Registry.Decode(raw)
-	return Snapshot{
-		Document: document, Raw: raw, Transferred: transferred, Fetch: read.Sub(start), Decode: time.Since(read),
-	}, err
+	document, err := f.Registry.Decode(raw)
+	if err != nil {
+		return err
+	}
+	f.apply(Snapshot{Document: document, Raw: raw, Transferred: len(r.raw), Fetch: r.fetch, Decode: time.Since(start)}, "node "+r.from)
+	return nil
 }
--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -43,9 +43,9 @@
 	relays func() []roster.Entry
 	// joined is closed when this node has read the list of nodes.
 	joined chan struct{}
-	// askRelay requests the next version after the one of this node from another
-	// node.
-	askRelay func(ctx context.Context, to roster.Entry) (Snapshot, error)
+	// askRelay requests the next version after the one of this node from another node,
+	// and puts it in force.
+	askRelay func(ctx context.Context, to roster.Entry) error
 
 	// patches makes patches to the configuration in force.
 	patches patches
@@ -54,6 +54,10 @@
 	// failedFetches counts the fetches from other nodes that failed.
 	failedFetches atomic.Int64
 
+	// decoding is held while a configuration of another node is decoded: the same one may
+	// arrive from several at a time.
+	decoding sync.Mutex
+
 	mu    sync.Mutex
 	raw   []byte
 	table atomic.Pointer[route.Table]
@@ -82,11 +86,11 @@
 	return 0
 }
 
-// current returns the raw form of the configuration in force.
-func (f *follower) current() []byte {
+// current returns the raw form of the configuration in force and its version.
+func (f *follower) current() (raw []byte, version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.raw
+	return f.raw, f.version()
 }
 
 // apply puts a configuration in force if it is newer than the present one.
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -101,7 +101,7 @@
 	Unknown []byte `msgpack:"u,omitempty"`
 	// Crashes answers AskCrashes.
 	Crashes quarantine.Incidents `msgpack:"i,omitempty"`
-	// Version is the configuration that the node has.
+	// Version is the configuration that the node has, and that of the answer if it is one.
 	Version uint64 `msgpack:"v,omitempty"`
 }
 
--- a/internal/mesh/peer_messages.go
+++ b/internal/mesh/peer_messages.go
@@ -25,10 +25,9 @@
 		}
 		return n.reply(response{}, nil)
 	case m.Fetch:
-		return n.configuration(n.follower.current(), nil, m.Patch)
+		return n.configuration(nil, m.Patch)
 	case m.Follow != nil:
-		raw, err := n.follower.relay(ctx, n.stopping.Load, *m.Follow)
-		return n.configuration(raw, err, m.Patch)
+		return n.configuration(n.follower.relay(ctx, n.stopping.Load, *m.Follow), m.Patch)
 	case m.Crash != nil:
 		return n.reply(response{Fault: n.serverProxy.crash.receive(string(in.From), *m.Crash)}, nil)
 	case m.Crashes != nil:
@@ -100,16 +99,20 @@
 
 // configuration replies with the configuration in force, as a patch if the other node
 // accepts one.
-func (n *Node) configuration(raw []byte, err *fault.Error, accepted *patchInfo) peer.Reply {
-	if err != nil || raw == nil || accepted == nil {
-		return n.reply(response{Fault: err}, raw)
+func (n *Node) configuration(err *fault.Error, accepted *patchInfo) peer.Reply {
+	if err != nil {
+		return n.reply(response{Fault: err}, nil)
+	}
+	raw, version := n.follower.current()
+	if raw == nil || accepted == nil {
+		return n.reply(response{Version: version}, raw)
 	}
 	patch, base, failure := n.follower.patches.from(accepted.Base)
 	if failure != nil {
 		n.Log.WithError(failure).Error("cannot compress the configuration")
-		return n.reply(response{}, raw)
+		return n.reply(response{Version: version}, raw)
 	}
-	return n.reply(response{Patch: &patchInfo{Base: base}}, patch)
+	return n.reply(response{Patch: &patchInfo{Base: base}, Version: version}, patch)
 }
 
 func (n *Node) reply(head response, body []byte) peer.Reply {
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -33,11 +33,7 @@
 	results := make(chan error, len(relays))
 	for _, to := range relays {
 		go func() {
-			v, err := f.askRelay(ctx, to)
-			if err == nil {
-				f.apply(v, "node "+to.Node)
-			}
-			results <- err
+			results <- f.askRelay(ctx, to)
 		}()
 	}
 	for left := len(relays); left > 0; left-- {
@@ -56,9 +52,9 @@
 	clock.Sleep(ctx, retry.Jitter(relayRetry, nil))
 }
 
-// relay answers a node that follows this one, as soon as there is a version after the
-// one that it has or this node itself loses the registry or stops.
-func (f *follower) relay(ctx context.Context, stopping func() bool, after uint64) (raw []byte, err *fault.Error) {
+// relay waits for a node that follows this one, until there is a version after the one
+// that it has. It fails if this node itself loses the registry or stops.
+func (f *follower) relay(ctx context.Context, stopping func() bool, after uint64) *fault.Error {
 	f.mu.Lock()
 	f.followers++
 	f.mu.Unlock()
@@ -72,18 +68,18 @@
 		if f.changed == nil {
 			f.notifyChanged()
 		}
-		changed, down, raw := f.changed, f.down, f.raw
+		changed, down := f.changed, f.down
 		f.mu.Unlock()
 		switch {
 		case f.version() > after:
-			return raw, nil
+			return nil
 		case down || stopping():
-			return nil, fault.New(fault.KindStopped, "node %s does not follow the registry at the moment", f.Node)
+			return fault.New(fault.KindStopped, "node %s does not follow the registry at the moment", f.Node)
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, fault.New(fault.KindStopped, "the request to node %s for the next configuration was cancelled", f.Node)
+			return fault.New(fault.KindStopped, "the request to node %s for the next configuration was cancelled", f.Node)
 		}
 	}
 }
@@ -102,12 +98,12 @@
 	f.notifyChanged()
 }
 
-// fetchNext requests the next version from another node.
-func (a *announcer) fetchNext(ctx context.Context, to roster.Entry) (Snapshot, error) {
+// fetchNext requests the next version from another node and puts it in force.
+func (a *announcer) fetchNext(ctx context.Context, to roster.Entry) error {
 	version := a.follower.version()
-	v, err := a.requestConfiguration(ctx, to, message{Follow: &version})
+	err := a.requestConfiguration(ctx, to, message{Follow: &version})
 	if err != nil && ctx.Err() == nil {
 		a.directory.avoidRelay(to.Node, time.Now().Add(relayAvoidTime))
 	}
-	return v, err
+	return err
 }
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -85,10 +85,9 @@
 				f := newFollower(nil)
 				f.apply(document(1), "test")
 				var stopping, done atomic.Bool
-				var raw []byte
 				var err *fault.Error
 				go func() {
-					raw, err = f.relay(t.Context(), stopping.Load, 1)
+					err = f.relay(t.Context(), stopping.Load, 1)
 					done.Store(true)
 				}()
 				time.Sleep(5 * time.Second)
@@ -103,7 +102,9 @@
 					return
 				}
 				assert.Assert(t, err == nil)
+				raw, version := f.current()
 				assert.DeepEqual(t, raw, []byte{c.version})
+				assert.Equal(t, version, uint64(c.version))
 			})
 		})
 	}
@@ -131,11 +132,13 @@
 				r := &fakeRegistry{next: make(chan Snapshot, 1)}
 				f := newFollower(r)
 				f.relays = func() []roster.Entry { return c.relays }
-				f.askRelay = func(ctx context.Context, to roster.Entry) (Snapshot, error) {
+				f.askRelay = func(ctx context.Context, to roster.Entry) error {
 					if to.Node == "n3" {
-						return Snapshot{}, errors.New("gone")
+						return errors.New("gone")
 					}
-					return c.askRelay(ctx)
+					v, err := c.askRelay(ctx)
+					f.apply(v, to.Node)
+					return err
 				}
 				ctx, cancel := context.WithCancel(t.Context())
 				go f.run(ctx)
@@ -179,8 +182,7 @@
 		follow, stop := context.WithCancel(t.Context())
 		var refused atomic.Pointer[fault.Error]
 		go func() {
-			_, err := f.relay(follow, func() bool { return false }, 1)
-			refused.Store(err)
+			refused.Store(f.relay(follow, func() bool { return false }, 1))
 		}()
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, r.expired.Load())
