A dropped history of the registry is no outage

A node that lost its relays turned its own followers away, and they read the whole configuration from the store in turn. Cause: while a node follows relays its position in the registry grows old. Change: the node reads the configuration and goes on; its followers are not told anything.

--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -167,9 +167,15 @@
 			if ctx.Err() != nil {
 				return
 			}
-			if fault.Is(err, fault.KindExpired) {
+			if fault.Is(err, fault.KindExpired) && known && !down {
+				// The registry answers, but a node that followed relays asks for a change of
+				// long ago.
+				f.Log.WithField("position", position).Info("history of the registry dropped; reading the configuration")
 				known = false
+				clock.Sleep(ctx, retry.Jitter(minFollowBackoff, nil))
+				continue
 			}
+			known = known && !fault.Is(err, fault.KindExpired)
 			if !down {
 				f.Log.WithError(err).WithField("position", position).Warn("registry lost")
 			}
