A long reply of the store may take longer than the time-out

A host on a narrow link could not read a configuration of thousands of routes: a read of 1.5 s, with the body, broke it off and began anew. A node that starts then never became ready, and one that relays counted the store as lost. Cause: the time-out held for the whole reply. Change: it holds until the body begins; each part of the body moves the limit on by its time at 256 KB/s. Bytes that are no body, such as chunk extensions, move nothing.

--- a/internal/store/endpoint.go
+++ b/internal/store/endpoint.go
@@ -26,6 +26,9 @@
 	DefaultTimeout = 2 * time.Second
 	// maxReply limits the memory for one reply, in bytes.
 	maxReply = 64 << 20
+	// minRate is the slowest transfer of a reply that is awaited, in bytes per second: a
+	// fifth of a link of 10 Mbit/s.
+	minRate = 256 << 10
 	// MaxHeader is the size limit of a reply's header in bytes, for http.Transport.
 	MaxHeader = 64 << 10
 )
@@ -49,7 +52,8 @@
 	Base string
 	// HTTP is the client to use; nil means a client shared by the process.
 	HTTP *http.Client
-	// Timeout bounds one request; zero means DefaultTimeout.
+	// Timeout bounds one request until the first byte of the reply's body; zero means
+	// DefaultTimeout. The body then takes at most the time of minRate longer.
 	Timeout time.Duration
 }
 
@@ -86,8 +90,8 @@
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, limit := newLimit(ctx, timeout)
+	defer limit.end()
 	// A request for which there was no connection cannot have taken effect.
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -103,7 +107,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		if errors.Is(err, context.DeadlineExceeded) {
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			// If the server no longer responds, each idle connection to it would lead to
 			// another time-out.
 			client.CloseIdleConnections()
@@ -112,7 +116,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	start := time.Now()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
+	body, err := io.ReadAll(io.LimitReader(limit.reader(resp.Body), maxReply+1))
 	if err == nil && len(body) > maxReply {
 		err = eris.Errorf("reply is longer than %d bytes", maxReply)
 	}
