A relay learns of a newer configuration from its followers

A relay whose request for the next change is never answered, on a connection that stays open, served an old configuration until 31.5 s were over, if no request of a caller passed it. Cause: a node that follows it names its own version, and the relay only compared it for the answer. Change: a version above its own is fetched from the follower. Result: TestRelayLearnsFromItsFollowers fails without the change (still version 1 after 10 s) and passes with it.

--- a/internal/mesh/fetch_test.go
+++ b/internal/mesh/fetch_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/vanillasail/vanillasail/internal/peer"
 	"github.com/vanillasail/vanillasail/pkg/roster"
@@ -38,8 +39,9 @@
 // newFetch returns a node with version 1 and the entry of one with the given configuration,
 // which is sent over a link.
 func newFetch(t *testing.T, raw []byte, link peer.Uplink) (a *announcer, decoded *atomic.Int32, to roster.Entry) {
-	far := &Node{Options: Options{Node: "n1", Log: &log.Logger{Handler: discard.New()}}}
+	far := &Node{Options: Options{Node: "n1", Fresh: true, Log: &log.Logger{Handler: discard.New()}}}
 	far.assemble()
+	far.runCtx = t.Context()
 	v := document(2)
 	v.Raw = raw
 	far.follower.apply(v, "test")
@@ -92,3 +94,32 @@
 	assert.NilError(t, a.fetchFrom(ctx, to))
 	assert.Equal(t, a.follower.version(), uint64(2))
 }
+
+// Guards against a relay whose registry keeps silent, and that stays behind although the
+// nodes that follow it have a newer configuration.
+func TestRelayLearnsFromItsFollowers(t *testing.T) {
+	a, _, follower := newFetch(t, []byte{2}, nil)
+	n := &Node{Options: Options{Node: "n0", Registry: versionRegistry{}, Log: a.Log}}
+	n.assemble()
+	n.runCtx = t.Context()
+	t.Cleanup(n.peers.Close)
+	n.follower.apply(document(1), "test")
+	n.directory.merge([]roster.Entry{follower}, epoch)
+	version := uint64(2)
+	head, err := encode(message{Follow: &version})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		n.answer(ctx, peer.Incoming{From: []byte("n1"), Head: head})
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if v := n.follower.version(); v < 2 {
+			return poll.Continue("version %d", v)
+		}
+		return poll.Success()
+	})
+	cancel()
+	<-answered
+}
--- a/internal/mesh/peer_messages.go
+++ b/internal/mesh/peer_messages.go
@@ -27,6 +27,10 @@
 	case m.Fetch:
 		return n.configuration(nil, m.Patch)
 	case m.Follow != nil:
+		// A relay whose registry keeps silent learns of a version from its followers.
+		if from, ok := n.directory.entry(string(in.From)); ok {
+			n.versionSeen(*m.Follow, from)
+		}
 		return n.configuration(n.follower.relay(ctx, n.stopping.Load, *m.Follow), m.Patch)
 	case m.Crash != nil:
 		return n.reply(response{Fault: n.serverProxy.crash.receive(string(in.From), *m.Crash)}, nil)
