A node that is told for too long that it is behind refuses requests

Callers got answers by a configuration that had been replaced for longer than the operator allows. Cause: whatever kept a node from taking a newer version (a busy link, no processor time, lost relays), it went on handling requests by the old one although other nodes named the newer version with each message. Change: two thirds of the bound for configurations after the first sign of a newer version, new requests get 503 with Retry-After 0.3 s, as long as signs go on coming. A node that is told nothing cannot know that it is behind and serves on; a version that its release rejects is not waited for. Result: TestOutdatedNodeRefuses fails without the check (404 by the old version) and passes with it, TestOutdated, TestRejectedVersionIsNotWaitedFor pass.

--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"time"
@@ -155,6 +156,8 @@
 	}
 	document, err := f.Registry.Decode(raw)
 	if err != nil {
+		// A version that this program rejects is not waited for.
+		f.lag.Applied(cmp.Or(r.version, f.lag.Newest()), time.Now())
 		return err
 	}
 	f.apply(Snapshot{Document: document, Raw: raw, Transferred: len(r.raw), Fetch: r.fetch, Decode: time.Since(start)}, "node "+r.from)
--- a/internal/mesh/fetch_test.go
+++ b/internal/mesh/fetch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,7 +14,9 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/route"
 )
@@ -123,3 +126,57 @@
 	cancel()
 	<-answered
 }
+
+// Guards against a node that goes on handling requests by an old configuration while other
+// nodes tell it of a newer one that it does not get.
+func TestOutdatedNodeRefuses(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		since, sign time.Duration
+		bound       time.Duration
+		kind        fault.Kind
+	}{
+		"behind for too long":  {2500 * time.Millisecond, 0, 3 * time.Second, fault.KindStopped},
+		"behind for a moment":  {500 * time.Millisecond, 0, 3 * time.Second, fault.KindNotFound},
+		"not told any more":    {30 * time.Second, 20 * time.Second, 3 * time.Second, fault.KindNotFound},
+		"no bound is in force": {30 * time.Second, 0, 0, fault.KindNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{Options: Options{Node: "n0", Bounds: Bounds{Apply: c.bound}, Log: &log.Logger{Handler: discard.New()}}}
+			n.assemble()
+			n.follower.apply(document(1), "test")
+			n.follower.lag.Seen(2, now.Add(-c.since))
+			n.follower.lag.Seen(2, now.Add(-c.sign))
+			_, err := n.Serve(t.Context(), call.Request{ID: "r", Host: "h", URI: "/"})
+			assert.Assert(t, fault.Is(err, c.kind), "%v", err)
+			if c.kind == fault.KindStopped {
+				assert.Equal(t, fault.As(err).Status, http.StatusServiceUnavailable)
+				assert.Equal(t, fault.As(err).Outcome, fault.Refused)
+				assert.Assert(t, fault.As(err).Wait > 0)
+			}
+			n.follower.apply(document(2), "test")
+			_, err = n.Serve(t.Context(), call.Request{ID: "r", Host: "h", URI: "/"})
+			assert.Assert(t, fault.Is(err, fault.KindNotFound), "%v", err)
+		})
+	}
+}
+
+// rejectingRegistry rejects every configuration.
+type rejectingRegistry struct{ Registry }
+
+// Decode implements Registry.
+func (rejectingRegistry) Decode([]byte) (*route.Document, error) {
+	return nil, fault.New(fault.KindBadRequest, "not valid")
+}
+
+// Guards against a node that refuses all requests because it waits for a version that its
+// release rejects.
+func TestRejectedVersionIsNotWaitedFor(t *testing.T) {
+	a, _, to := newFetch(t, []byte{2}, nil)
+	a.follower.Registry, a.Registry = rejectingRegistry{}, rejectingRegistry{}
+	a.follower.seen(2, "n1")
+	assert.Assert(t, a.fetchFrom(t.Context(), to) != nil)
+	assert.Equal(t, a.follower.lag.Behind(time.Now().Add(time.Hour)), time.Duration(0))
+	a.follower.seen(2, "n1")
+	assert.Equal(t, a.follower.lag.Behind(time.Now().Add(time.Hour)), time.Duration(0))
+}
--- a/internal/mesh/follower.go
+++ b/internal/mesh/follower.go
@@ -26,6 +26,12 @@
 	// changeWait is the same while the registry works; it is long because each call
 	// has a cost.
 	changeWait = 30 * time.Second
+	// applyShare is the part of Bounds.Apply for which a node handles requests by an older
+	// configuration once it knows of a newer one. The rest is for the time until it knows.
+	applyShare = 2.0 / 3
+	// outdatedWait is when callers may return that were refused for that: decoding a long
+	// document takes some tenths of a second.
+	outdatedWait = 300 * time.Millisecond
 	// joinTimeout is how long a starting node waits until it knows whether there are
 	// relays that follow the registry for it.
 	joinTimeout = 2 * time.Second
@@ -125,6 +131,16 @@
 	}
 }
 
+// checkAge returns an error if this node has known of a newer configuration for so long that
+// it must not handle requests by the one that it has.
+func (f *follower) checkAge() *fault.Error {
+	if !f.lag.Outdated(time.Now(), time.Duration(applyShare*float64(f.Bounds.Apply))) {
+		return nil
+	}
+	return fault.New(fault.KindStopped, "node %s has configuration %d and knows of %d", f.Node, f.version(), f.lag.Newest()).
+		WithWait(outdatedWait)
+}
+
 func registryWait(down bool) time.Duration {
 	if down {
 		return outageWait
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -164,6 +164,9 @@
 	if table == nil {
 		return nil, n.logRejected(r.ID, fault.New(fault.KindStopped, "node %s has no configuration yet", n.Node()).WithWait(joinRetry))
 	}
+	if err := n.follower.checkAge(); err != nil {
+		return nil, n.logRejected(r.ID, err)
+	}
 	rt, service, ok := table.Find(r.Host, pathOf(r.URI))
 	if !ok {
 		return nil, n.logRejected(r.ID, fault.New(fault.KindNotFound, "no route for host %q and path %.80q in version %d", r.Host, r.URI, table.Document.Version))
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -83,6 +83,9 @@
 	// RetryRatio, RetrySpan and RetryFixed limit the resends of all nodes together.
 	RetryRatio, RetryFixed float64
 	RetrySpan              time.Duration
+	// Apply is how long after it was accepted a configuration must be in force; zero means
+	// no bound.
+	Apply time.Duration
 }
 
 // Options are the settings of one node.
--- a/pkg/lag/lag.go
+++ b/pkg/lag/lag.go
@@ -7,8 +7,13 @@
 	"time"
 )
 
-// maxSightings bounds the versions that are tracked at a time.
-const maxSightings = 64
+const (
+	// maxSightings bounds the versions that are tracked at a time.
+	maxSightings = 64
+	// signAge is how long a report of a newer version counts. Nodes that exchange requests
+	// report it many times a second.
+	signAge = time.Second
+)
 
 // Tracker tracks which newer versions are known. The zero value has the version 0 and is
 // not behind. It is safe for concurrent use.
@@ -18,6 +23,8 @@
 	// newer holds the known versions above version in ascending order. A version is known
 	// no later than those above it.
 	newer []sighting
+	// lastSign is when a newer version was last reported.
+	lastSign time.Time
 }
 
 type sighting struct {
@@ -30,6 +37,9 @@
 func (t *Tracker) Seen(version uint64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if version > t.version {
+		t.lastSign = now
+	}
 	if version <= t.version || len(t.newer) > 0 && version <= t.newer[len(t.newer)-1].version {
 		return false
 	}
@@ -63,6 +73,15 @@
 	return t.behind(now)
 }
 
+// Outdated reports whether the node must not use its version any more: a newer one has been
+// known for longer than limit, and was reported within signAge. A node that is told nothing
+// cannot know whether it is behind, and goes on with what it has.
+func (t *Tracker) Outdated(now time.Time, limit time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return limit > 0 && t.behind(now) >= limit && now.Sub(t.lastSign) < signAge
+}
+
 // Newest returns the newest known version.
 func (t *Tracker) Newest() uint64 {
 	t.mu.Lock()
--- a/pkg/lag/lag_test.go
+++ b/pkg/lag/lag_test.go
@@ -38,6 +38,31 @@
 	}
 }
 
+// Guards against a node that serves an old version without end although others tell it of a
+// newer one, and against one that refuses requests although nobody tells it anything.
+func TestOutdated(t *testing.T) {
+	const limit = 2 * time.Second
+	for name, c := range map[string]struct {
+		change func(t *Tracker)
+		limit  time.Duration
+		want   bool
+	}{
+		"up to date":             {func(t *Tracker) { t.Applied(7, at(1)); t.Seen(7, at(10)) }, limit, false},
+		"behind for a moment":    {func(t *Tracker) { t.Seen(7, at(9)); t.Seen(7, at(10)) }, limit, false},
+		"behind, still told":     {func(t *Tracker) { t.Seen(7, at(1)); t.Seen(7, at(10)) }, limit, true},
+		"behind, told no more":   {func(t *Tracker) { t.Seen(7, at(1)); t.Seen(7, at(5)) }, limit, false},
+		"one of two is missing":  {func(t *Tracker) { t.Seen(7, at(1)); t.Applied(7, at(2)); t.Seen(8, at(10)) }, limit, false},
+		"no limit":               {func(t *Tracker) { t.Seen(7, at(1)); t.Seen(7, at(10)) }, 0, false},
+		"version cannot be used": {func(t *Tracker) { t.Seen(7, at(1)); t.Applied(7, at(2)); t.Seen(7, at(10)) }, limit, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tracker Tracker
+			c.change(&tracker)
+			assert.Equal(t, tracker.Outdated(at(10), c.limit), c.want)
+		})
+	}
+}
+
 // Guards against memory that grows with the versions of a storm, and against a lag that is
 // understated because sightings were dropped.
 func TestSightingsAreBounded(t *testing.T) {
