A configuration is fetched from the member that was heard last

Nodes of internal/daemon kept an old configuration while the table service was down, until another change came or the table was polled again. Cause: a node fetched a version only from the member that named it first. If that one stopped, froze or was cut off before the fetch, other members that have the version were not asked. Change: the member heard last with the newest version is asked.

--- a/pkg/member/config_test.go
+++ b/pkg/member/config_test.go
@@ -63,11 +63,15 @@
 		loss   float64
 		frozen bool
 		cut    bool
+		// stops makes the node that has accepted the version stop when others know of it
+		// and one other has it.
+		stops bool
 	}{
 		"store down": {},
 		"store down, a tenth of the packets lost":  {loss: 0.1},
 		"store down, a region cut off for 5 s":     {cut: true},
 		"store down, a tenth of the nodes stopped": {frozen: true},
+		"store down, the node that has it stops":   {stops: true},
 	}
 	for name, tc := range cases {
 		for _, size := range []int{100, target} {
@@ -86,6 +90,11 @@
 				if tc.cut {
 					n.cut = func(a, b *host) bool { return a.region != b.region && n.ms < healed }
 				}
+				if tc.stops {
+					n.run(200 * time.Millisecond)
+					n.hosts[7].frozen = true
+					n.hosts[8].SetConfig(42)
+				}
 				took, ok := n.until(propagationLimit, func() bool {
 					holding := true
 					for i := range followers {
--- a/pkg/member/protocol.go
+++ b/pkg/member/protocol.go
@@ -56,8 +56,8 @@
 	clock      time.Duration
 	last       time.Time
 	nextExpiry time.Duration
-	// config is the highest configuration version received, and configFrom a member
-	// that has it.
+	// config is the highest configuration version received, and configFrom the member
+	// that has it and was heard last: an earlier one may have stopped since.
 	config     uint64
 	configFrom Ref
 
@@ -201,7 +201,7 @@
 }
 
 func (p *Protocol) noteConfig(version uint64, from Ref) {
-	if version > p.config {
+	if version > p.config || version == p.config && version > p.self.Config {
 		p.config, p.configFrom = version, from
 	}
 }
