internal/daemon: a fetch of the configuration may outlast a busy link

The same fault as in internal/mesh: one second in all for the transfer of a document of up to 8 MB, from one member at a time, and the loop that fetches also learns of crashes. Change: fetches run in the background for up to 10 s, another member is asked beside a slow one after a second; pkg/lag has the decision for both programs (Fetches). 'configuration in force' says for how long the node was behind, 'newer configuration known' when it learned of a version.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -11,6 +11,7 @@
 	"github.com/vanillasail/vanillasail/internal/table"
 	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/lag"
 	"github.com/vanillasail/vanillasail/pkg/member"
 	"github.com/vanillasail/vanillasail/pkg/retry"
 )
@@ -35,6 +36,9 @@
 	lastPoll time.Time
 	// loggedVersion is the last version that was logged.
 	loggedVersion atomic.Uint64
+	fetches       lag.Fetches
+	// lag tracks for how long newer versions have been known.
+	lag lag.Tracker
 }
 
 func (c *configuration) addControls(all map[string]node.ControlFunc) {
@@ -53,13 +57,22 @@
 	c.Manager.First = c.Options.First
 }
 
-// pullNewer fetches a newer version from the member that announced it.
+// pullNewer fetches a newer version in the background from a member that has it.
 func (c *configuration) pullNewer(ctx context.Context) {
 	version, from := c.members.protocol.Config()
-	if config.Version(version) > c.Version() {
-		if err := c.Pull(ctx, from.ID, config.Version(version)); err != nil {
-			c.Log.WithError(err).WithField("node", c.ID).WithField("from", from.ID).Warn("cannot fetch the configuration")
-		}
+	now := time.Now()
+	if c.lag.Seen(version, now) {
+		c.Log.WithField("node", c.ID).WithField("version", version).WithField("from", from.ID).Info("newer configuration known")
+	}
+	if config.Version(version) > c.Version() && c.fetches.Begin(from.ID, now) {
+		go func() {
+			defer c.fetches.End(from.ID)
+			if err := c.Pull(ctx, from.ID, config.Version(version)); err != nil {
+				c.Log.WithError(err).WithField("node", c.ID).WithField("from", from.ID).WithField("version", version).
+					WithField("behind", c.lag.Behind(time.Now())).Warn("cannot fetch the configuration")
+			}
+			c.announceVersion()
+		}()
 	}
 	c.announceVersion()
 }
@@ -88,7 +101,8 @@
 	loggedVersion := c.loggedVersion.Load()
 	if loggedVersion < uint64(current.Version) && c.loggedVersion.CompareAndSwap(loggedVersion, uint64(current.Version)) {
 		c.Log.WithField("node", c.ID).WithField("version", uint64(current.Version)).
-			WithField("change", current.ID).Info("configuration in force")
+			WithField("change", current.ID).WithField("behind", c.lag.Applied(uint64(current.Version), time.Now())).
+			Info("configuration in force")
 	}
 	c.members.protocol.SetConfig(uint64(current.Version))
 }
@@ -164,7 +178,7 @@
 	if !ok {
 		return config.Record{}, fault.New(fault.KindUnreachable, "the address of node %s is not known", peer)
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lag.FetchTimeout)
 	defer cancel()
 	reply, err := p.transport.Control(ctx, addr, kindConfigFetch, nil)
 	if err != nil {
--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/lag"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/wire"
 )
@@ -65,7 +66,7 @@
 	publishing     bool
 	retryScheduled bool
 	// fetches are those of newer configurations that messages of other nodes have shown.
-	fetches fetches
+	fetches lag.Fetches
 }
 
 // update changes the entry of this node, sends it to all other nodes and publishes
--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -8,41 +8,11 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/vanillasail/vanillasail/pkg/lag"
 	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
-const (
-	// fetchTimeout bounds a fetch of the configuration from another node. A node that is
-	// lost is noticed sooner, by the pings of its connection; one that answers may have a
-	// link that is busy for seconds.
-	fetchTimeout = 10 * time.Second
-	// fetchPatience is how long a fetch may take before another node is asked too, and
-	// maxFetches how many are asked at a time.
-	fetchPatience = time.Second
-	maxFetches    = 3
-)
-
-// fetches are the running fetches of the configuration. It is used under announcer.mu.
-type fetches struct {
-	// running holds the nodes that are asked.
-	running map[string]bool
-	// last is when the last fetch began.
-	last time.Time
-}
-
-// begin reports whether a node is to be asked now.
-func (f *fetches) begin(node string, now time.Time) bool {
-	if f.running[node] || len(f.running) >= maxFetches || len(f.running) > 0 && now.Sub(f.last) < fetchPatience {
-		return false
-	}
-	if f.running == nil {
-		f.running = make(map[string]bool)
-	}
-	f.running[node], f.last = true, now
-	return true
-}
-
 // fetchIfNewer fetches the configuration of another node in the background if its
 // version is newer and no other fetch has begun recently.
 func (a *announcer) fetchIfNewer(ctx context.Context, version uint64, from roster.Entry) {
@@ -50,17 +20,12 @@
 		return
 	}
 	a.follower.seen(version, from.Node)
-	a.mu.Lock()
-	begin := a.fetches.begin(from.Node, time.Now())
-	a.mu.Unlock()
-	if !begin {
+	if !a.fetches.Begin(from.Node, time.Now()) {
 		return
 	}
 	go func() {
+		defer a.fetches.End(from.Node)
 		a.fetch(ctx, from)
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.fetches.running, from.Node)
 	}()
 }
 
@@ -76,7 +41,7 @@
 }
 
 func (a *announcer) fetchFrom(ctx context.Context, from roster.Entry) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lag.FetchTimeout)
 	defer cancel()
 	return a.requestConfiguration(ctx, from, message{Fetch: true})
 }
--- a/pkg/lag/lag_test.go
+++ b/pkg/lag/lag_test.go
@@ -76,3 +76,21 @@
 	tracker.Applied(10*maxSightings, at(1000))
 	assert.Equal(t, tracker.Behind(at(1000)), time.Duration(0))
 }
+
+// Guards against a version that is awaited from one slow node only, and against a fetch for
+// each message that names it.
+func TestFetches(t *testing.T) {
+	var f Fetches
+	assert.Assert(t, f.Begin("a", at(0)))
+	assert.Assert(t, !f.Begin("b", at(0)), "the first node has no time to answer")
+	assert.Assert(t, !f.Begin("a", at(5)), "asked twice")
+	assert.Assert(t, f.Begin("b", at(5)))
+	assert.Assert(t, f.Begin("c", at(6)))
+	assert.Assert(t, !f.Begin("d", at(9)), "too many")
+	f.End("b")
+	assert.Assert(t, f.Begin("d", at(9)))
+	for _, node := range []string{"a", "c", "d"} {
+		f.End(node)
+	}
+	assert.Assert(t, f.Begin("a", at(9)), "nothing runs")
+}
