--- a/review/second/platform/trial/case_rejoin.go
+++ b/review/second/platform/trial/case_rejoin.go
@@ -7,13 +7,8 @@
 
 func init() { scenarios["rejoin"] = rejoin }
 
-const (
-	// drainTime is the bound drain: how long after the acknowledgement a leaving server may
-	// still get requests.
-	drainTime = 2 * time.Second
-	// servesOn is how long a server serves on after the acknowledgement of its leaving.
-	servesOn = 9 * time.Second
-)
+// servesOn is how long a server serves on after the acknowledgement of its leaving.
+const servesOn = 9 * time.Second
 
 // rejoin crashes a server, which is back under its name after a second and leaves two
 // seconds later with a deregistration. With the disruption its first heartbeat arrives
@@ -50,14 +45,8 @@
 	time.Sleep(servesOn)
 	stop()
 	s.crash()
-	late, longest := 0, time.Duration(0)
-	for _, a := range s.ran() {
-		if after := a.at.Sub(left); after > drainTime {
-			late++
-			longest = max(longest, after)
-		}
-	}
-	d.note("%d requests sent, %d answered 200; %d reached the server later than %s after the acknowledgement, the last one %s after it",
+	late, longest := s.ranAfter(left.Add(drainTime))
+	d.note("%d requests sent, %d answered 200; %d reached the server later than %s after the acknowledgement, the last one %s later still",
 		len(c.all()), c.answered(200), late, drainTime, longest.Truncate(time.Millisecond))
 	return late == 0 || status != http.StatusOK, nil
 }
--- a/review/second/platform/trial/case_reuse.go
+++ b/review/second/platform/trial/case_reuse.go
@@ -9,10 +9,6 @@
 
 func init() { scenarios["reuse"] = reuse }
 
-// addrReuse is the time after which the address of a server that has ended may be given to
-// another one.
-const addrReuse = 2 * time.Second
-
 // reuse ends a server of one service without notice and gives its address to a server of
 // another service after addrReuse; the platform tells the node by its settings. Rule ROUTE:
 // no service runs a request that no configuration allows to go to it.
--- a/review/second/platform/trial/deployment.go
+++ b/review/second/platform/trial/deployment.go
@@ -34,6 +34,21 @@
 	servers []*server
 }
 
+// The bounds of the users' rules that the cases check or wait for.
+const (
+	// addrReuse is the time after which the address of a server that has ended may be given
+	// to another one.
+	addrReuse = 2 * time.Second
+	// drainTime is how long after the acknowledgement a leaving server may still get
+	// requests.
+	drainTime = 2 * time.Second
+	// stableWindow is how long a machine must have been undisturbed for bounds to hold.
+	stableWindow = 3 * time.Second
+	// lossSlack is how long after its last byte a request may end without an answer if no
+	// server got it.
+	lossSlack = 200 * time.Millisecond
+)
+
 const (
 	readyTimeout = 20 * time.Second
 	learnTime    = 2 * time.Second
--- a/review/second/platform/trial/server.go
+++ b/review/second/platform/trial/server.go
@@ -61,6 +61,18 @@
 	return append([]arrival(nil), s.arrivals...)
 }
 
+// ranAfter returns how many requests the server has begun to run after a time, and how
+// long after it the last one.
+func (s *server) ranAfter(t time.Time) (n int, longest time.Duration) {
+	for _, a := range s.ran() {
+		if after := a.at.Sub(t); after > 0 {
+			n++
+			longest = max(longest, after)
+		}
+	}
+	return n, longest
+}
+
 func (s *server) setWork(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
