--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -9,4 +9,4 @@
 	echo "run the build of deploy/system.toml and review/build-2.sh first"
 	exit 2
 fi
-exec target/trial-2 -case unborn -record "$here/record.txt"
+exec target/trial-2 -case origin -record "$here/record.txt"
--- a/review/second/platform/trial/deployment.go
+++ b/review/second/platform/trial/deployment.go
@@ -44,9 +44,8 @@
 	drainTime = 2 * time.Second
 	// stableWindow is how long a machine must have been undisturbed for bounds to hold.
 	stableWindow = 3 * time.Second
-	// lossSlack is how long after its last byte a request may end without an answer if no
-	// server got it.
-	lossSlack = 200 * time.Millisecond
+	// configApply is how long a change may take until it is in force.
+	configApply = 2 * time.Second
 )
 
 const (
