internal/daemon: announcements are checked

Cause: the service of an announcement went into rows and messages as it came, a malformed address was taken, and any state but draining counted as ready. Change: name as in the configuration, IP:port, ready or draining; others get 400 and a log line.

--- a/internal/daemon/local_server.go
+++ b/internal/daemon/local_server.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
@@ -23,6 +24,13 @@
 	State   string `json:"state"`
 }
 
+// valid reports whether a backend server can have sent the announcement. The service is
+// part of rows of the table and of messages between nodes.
+func (a announcement) valid() bool {
+	addr, err := netip.ParseAddrPort(a.Addr)
+	return err == nil && addr.Port() > 0 && config.IsName(a.Service) && a.Slots > 0 && (a.State == stateReady || a.State == stateDraining)
+}
+
 // localServer is the state of the backend server beside this node.
 type localServer struct {
 	mu sync.Mutex
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -229,7 +230,8 @@
 		return http1.Text(http.StatusNotFound, "send POST /announce")
 	}
 	var a announcement
-	if err := json.Unmarshal(body, &a); err != nil || a.Service == "" || a.Addr == "" || a.Slots <= 0 {
+	if err := json.Unmarshal(body, &a); err != nil || !a.valid() {
+		n.Log.WithField("node", n.ID).WithField("announcement", fmt.Sprintf("%.200s", body)).Warn("announcement refused")
 		return http1.Text(http.StatusBadRequest, `send {"service":"...","addr":"IP:port","slots":1 or more,"state":"ready" or "draining"}`)
 	}
 	now := time.Now()
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -19,6 +19,9 @@
 	validate   = newValidator()
 )
 
+// IsName reports whether s can be the name of a service, domain or other entity.
+func IsName(s string) bool { return nameSyntax.MatchString(s) }
+
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string {
