A server's name cannot end a header

Cause: the name in the path of a heartbeat was unescaped, not checked, and written into the head of each request to the server. Change: roster.CheckServerID where names come in (heartbeats, deregistrations, health answers, entries, rows); HeaderNames.check where heads go out, which sends nothing.

--- a/internal/backend/header_names.go
+++ b/internal/backend/header_names.go
@@ -5,7 +5,10 @@
 	"strconv"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
 // HeaderNames holds the names of the headers that a backend server supports. A
@@ -81,6 +84,36 @@
 	return n.Seal != "" && status < http.StatusMultipleChoices && h.Get(n.Seal) == ""
 }
 
+// check returns an error if the head of a request would not be read as it is meant. The
+// values come from callers, other nodes, servers and the configuration.
+func (n HeaderNames) check(r call.Request) error {
+	if !httpguts.ValidHeaderFieldName(r.Method) || r.URI == "" || strings.ContainsFunc(r.URI, isControlOrSpace) {
+		return malformed("request line", r.Method+" "+r.URI)
+	}
+	for _, f := range [...]struct{ name, value string }{{"Host", r.Host}, {n.ID, r.ID}, {n.Target, r.Target}, {n.Origin, r.Origin}} {
+		if !httpguts.ValidHeaderFieldValue(f.value) {
+			return malformed(f.name, f.value)
+		}
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return malformed("header name", name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return malformed(name, v)
+			}
+		}
+	}
+	return nil
+}
+
+func isControlOrSpace(c rune) bool { return c <= ' ' || c == 0x7f }
+
+func malformed(what, value string) error {
+	return fault.New(fault.KindBadRequest, "%s %.80q has characters that cannot be sent", what, value)
+}
+
 // appendHead appends the request line and the header to buf.
 func (n HeaderNames) appendHead(buf []byte, r call.Request, deadlineMillis int64) []byte {
 	buf = append(buf, r.Method...)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -64,6 +64,9 @@
 	if ctx.Err() != nil {
 		return nil, notSent()
 	}
+	if err := p.HeaderNames.check(r); err != nil {
+		return nil, err
+	}
 	c, err := p.conn(ctx, addr, r.Idempotent)
 	if err != nil {
 		return nil, err
--- a/internal/logs/handler_test.go
+++ b/internal/logs/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"runtime"
 	"strings"
 	"sync"
@@ -74,3 +75,23 @@
 		})
 	}
 }
+
+// Guards against values of callers, servers and other writers that forge a log line.
+func TestValuesStayInTheirLine(t *testing.T) {
+	for name, value := range map[string]string{
+		"line feed": "i-1\nlevel=error message=forged", "carriage": "i-1\r\nlevel=error message=forged",
+		"quote": `i-1" level=error message="forged`, "escape": "i-1\x1b[2J", "not UTF-8": "i-1\xff\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &blockedWriter{release: make(chan struct{})}
+			close(w.release)
+			h := New(w, 100)
+			(&log.Logger{Handler: h, Level: log.DebugLevel}).WithField("server", value).WithError(errors.New(value)).Info("event")
+			for !strings.Contains(w.text(), "\n") {
+				runtime.Gosched()
+			}
+			assert.Equal(t, strings.Count(w.text(), "\n"), 1, "%q", w.text())
+			assert.Assert(t, !strings.ContainsAny(w.text(), "\r\x1b"), "%q", w.text())
+		})
+	}
+}
--- a/internal/mesh/server_probe.go
+++ b/internal/mesh/server_probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/slots"
 )
 
@@ -82,6 +83,8 @@
 	close(done)
 }
 
+// probe requests the health check and returns the name of the server that answers, if it
+// is a valid one, and whether it is healthy.
 func (p *serverProxy) probe(path string) (instance string, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -92,6 +95,12 @@
 	if load.Slots > 0 {
 		p.observe(load)
 	}
+	if instance != "" {
+		if err := roster.CheckServerID(instance); err != nil {
+			p.Log.WithError(err).Warn("name in the answer to a health check ignored")
+			return "", healthy
+		}
+	}
 	return instance, healthy
 }
 
--- a/pkg/roster/entry.go
+++ b/pkg/roster/entry.go
@@ -73,14 +73,19 @@
 // Check returns an error if the entry does not describe a node.
 func (e Entry) Check() error {
 	for _, s := range [...]string{e.Node, e.Addr, e.Domain, e.Region, e.Service} {
-		if s == "" || len(s) > maxText {
-			return fault.New(fault.KindBadRequest, "entry of node %.40q: a name is empty or longer than %d bytes", e.Node, maxText)
+		if !isName(s) {
+			return fault.New(fault.KindBadRequest, "entry of node %.40q: a name is empty, longer than %d bytes, or has control characters", e.Node, maxText)
+		}
+	}
+	if e.Server != "" {
+		if err := CheckServerID(e.Server); err != nil {
+			return err
 		}
 	}
 	if e.Relaying < 0 {
 		return fault.New(fault.KindBadRequest, "entry of node %q: the time of a configuration is %s", e.Node, e.Relaying)
 	}
-	if e.Slots < 0 || e.Slots > MaxSlots || e.Limit < 0 || e.Limit > MaxSlots || len(e.Server) > maxText {
+	if e.Slots < 0 || e.Slots > MaxSlots || e.Limit < 0 || e.Limit > MaxSlots {
 		return fault.New(fault.KindBadRequest, "entry of node %q: %d slots are not between 0 and %d", e.Node, e.Slots, MaxSlots)
 	}
 	switch e.State {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -75,6 +75,9 @@
 		"state":      func(e *Entry) { e.State = "asleep" },
 		"slots":      func(e *Entry) { e.Slots = -1 },
 		"long":       func(e *Entry) { e.Service = string(make([]byte, 300)) },
+		"line end":   func(e *Entry) { e.Service = "stock\r\n" },
+		"server":     func(e *Entry) { e.Server = "i-1\r\n" },
+		"not UTF-8":  func(e *Entry) { e.Node = "a\xff" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := entry("a", 1, 1)
--- a/pkg/route/document.go
+++ b/pkg/route/document.go
@@ -5,6 +5,7 @@
 import (
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
@@ -72,6 +73,12 @@
 		if s.Name == "" || services[s.Name] {
 			return invalid("service name %q is empty or used twice", s.Name)
 		}
+		if strings.ContainsFunc(s.Name, unicode.IsControl) {
+			return invalid("service name %q has control characters", s.Name)
+		}
+		if strings.ContainsFunc(s.Health, isControlOrSpace) {
+			return invalid("service %q has the health check %q, which is no path", s.Name, s.Health)
+		}
 		services[s.Name] = true
 	}
 	type hostPrefix struct{ host, prefix string }
@@ -90,6 +97,9 @@
 	return nil
 }
 
+// isControlOrSpace reports whether a character would end the target of a request.
+func isControlOrSpace(c rune) bool { return unicode.IsControl(c) || unicode.IsSpace(c) }
+
 func (r *Route) check(services map[string]bool) error {
 	switch {
 	case r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
--- a/pkg/route/table_test.go
+++ b/pkg/route/table_test.go
@@ -67,6 +67,9 @@
 		"negative weight":      func(d *Document) { d.Routes[2].Destinations[1].Weight = -1 },
 		"no attempts":          func(d *Document) { d.Routes[0].MaxAttempts = 0 },
 		"duplicate service":    func(d *Document) { d.Services[1].Name = "stock" },
+		"health, line end":     func(d *Document) { d.Services[0].Health = "/health HTTP/1.1\r\nX: 1" },
+		"health, space":        func(d *Document) { d.Services[0].Health = "/health HTTP/1.0" },
+		"service, line end":    func(d *Document) { d.Services[1].Name = "stock\n" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := document()
