The service of the host follows its settings

Cause: changed settings were logged and not applied; the service and the address of the server were copied at the start and read in eleven places. Ruled out: a lost signal (the log says changed=true).

--- a/internal/mesh/crash_detector.go
+++ b/internal/mesh/crash_detector.go
@@ -79,7 +79,7 @@
 // crash, otherwise nil.
 func (c *crashDetector) failed(r call.Request, start quarantine.Start) (reported <-chan struct{}) {
 	defer c.end(start, false)
-	if !backend.RefusesConnections(context.Background(), c.Server) {
+	if !backend.RefusesConnections(context.Background(), c.backend().Addr) {
 		return nil
 	}
 	c.mu.Lock()
--- a/internal/mesh/crash_reports.go
+++ b/internal/mesh/crash_reports.go
@@ -35,7 +35,7 @@
 	}
 	var wg sync.WaitGroup
 	for _, to := range n.directory.others() {
-		if to.Service != n.Service {
+		if to.Service != n.backend().Service {
 			continue
 		}
 		wg.Go(func() {
@@ -53,7 +53,7 @@
 // saveCrash saves an incident in the registry.
 func (n *Node) saveCrash(i quarantine.Incident) {
 	err := crash.Save(n.runCtx, i, func(ctx context.Context, i quarantine.Incident) error {
-		return n.Registry.SaveCrash(ctx, n.Service, n.Node(), i)
+		return n.Registry.SaveCrash(ctx, n.backend().Service, n.Node(), i)
 	})
 	if err != nil {
 		n.Log.WithError(err).Warn("cannot save a crash in the registry")
@@ -69,7 +69,7 @@
 	asked := 0
 	for _, i := range rand.Perm(len(members)) {
 		to := members[i].Entry
-		if to.Node == n.Node() || to.Service != n.Service || asked == maxCrashPeers {
+		if to.Node == n.Node() || to.Service != n.backend().Service || asked == maxCrashPeers {
 			continue
 		}
 		asked++
@@ -114,7 +114,7 @@
 
 // readCrashes merges the crashes that the registry has, and reports whether it has answered.
 func (n *Node) readCrashes() bool {
-	list, err := n.Registry.Crashes(n.runCtx, n.Service)
+	list, err := n.Registry.Crashes(n.runCtx, n.backend().Service)
 	if err != nil {
 		n.Log.WithError(err).Warn("cannot read the saved crashes")
 		return false
@@ -162,7 +162,7 @@
 // sendCrashes sends the known crashes to a node of the service that may have missed them.
 func (n *Node) sendCrashes(to roster.Entry) {
 	list := n.serverProxy.crash.table.Incidents(time.Now(), nil)
-	if to.Service != n.Service || len(list) == 0 {
+	if to.Service != n.backend().Service || len(list) == 0 {
 		return
 	}
 	head, err := encode(message{Crashes: list})
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -67,7 +67,7 @@
 // caller's first attempt, because the caller measures the latency from there.
 func (d *dispatcher) prepare(r call.Request, rt route.Route, service string) (_ call.Request, elapsed time.Duration) {
 	now := r.Arrived
-	r.Service, r.Route, r.Idempotent, r.Priority, r.Origin = service, rt.Name, rt.Idempotent, rt.Priority, d.Service
+	r.Service, r.Route, r.Idempotent, r.Priority, r.Origin = service, rt.Name, rt.Idempotent, rt.Priority, d.backend().Service
 	limit := now.Add(rt.Timeout)
 	left := rt.Timeout
 	if !r.Deadline.IsZero() {
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -81,7 +81,7 @@
 		time.AfterFunc(crashlessStart, n.crashesKnown)
 		return false
 	}
-	n.serverProxy.suggestLimit(initialLimit(members, n.Node(), n.Service))
+	n.serverProxy.suggestLimit(initialLimit(members, n.Node(), n.backend().Service))
 	var own Member
 	for _, m := range members {
 		if m.Node == n.Node() {
@@ -94,7 +94,7 @@
 
 // takeOver takes over from an entry of an earlier process that the server is leaving.
 func (n *Node) takeOver(e roster.Entry) {
-	n.serverProxy.suggestLimit(initialLimit([]Member{{Entry: e}}, n.Node(), n.Service))
+	n.serverProxy.suggestLimit(initialLimit([]Member{{Entry: e}}, n.Node(), n.backend().Service))
 	if e.Leaving && n.serverProxy.deregister(e.Server, e.Born) {
 		n.Log.WithField("server", e.Server).Info("backend server was leaving before the start of this node")
 	}
--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -82,21 +82,24 @@
 	p.down = false
 }
 
-// report processes a report of the server. It returns false if the report is older
-// than the state already known.
-func (p *serverProxy) report(r roster.Report) bool {
+// report processes a report of the server.
+func (p *serverProxy) report(r roster.Report) roster.Verdict {
 	p.mu.Lock()
+	if b := p.backend(); (r.Service != "" || r.Addr != "") && (r.Service != b.Service || r.Addr != b.Addr) {
+		p.mu.Unlock()
+		return roster.Foreign
+	}
 	if p.holdBack(r, time.Now()) {
 		p.mu.Unlock()
 		p.Log.WithField("server", r.ID).WithField("seq", r.Seq).Info("report held back until the backend server confirms it")
 		go p.confirm()
-		return true
+		return roster.Taken
 	}
 	old := p.server
 	changed, stale := p.server.Apply(r, time.Now())
 	if stale {
 		p.mu.Unlock()
-		return false
+		return roster.Late
 	}
 	p.markUp(old.ID != r.ID || old.StartTime != 0 && old.StartTime != r.StartTime)
 	p.limiter.SetClosed(r.State != roster.Ready)
@@ -109,7 +112,7 @@
 			WithField("seq", r.Seq).WithField("warm", r.WarmUp).Info("backend server reported")
 		p.changed()
 	}
-	return true
+	return roster.Taken
 }
 
 // deregister marks the server with the given name and start time as gone. It returns
@@ -146,6 +149,7 @@
 func (p *serverProxy) describe(e *roster.Entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	e.Service = p.backend().Service
 	e.Limit = p.limiter.Limit.Current()
 	e.Server, e.State, e.Slots, e.WarmUp = p.server.ID, p.server.State, p.limiter.Limit.Slots(), p.server.WarmUp
 	if p.crash.unknown.Load() && e.State == roster.Ready {
--- a/internal/mesh/local_server_test.go
+++ b/internal/mesh/local_server_test.go
@@ -52,7 +52,7 @@
 // again, because its node has restarted since.
 func TestDeregistrationSurvivesNodeRestart(t *testing.T) {
 	report := func(p *serverProxy, state roster.State, startTime int64) bool {
-		return p.report(roster.Report{ID: "a", StartTime: startTime, Seq: 9, State: state, Slots: 4})
+		return p.report(roster.Report{ID: "a", StartTime: startTime, Seq: 9, State: state, Slots: 4}) == roster.Taken
 	}
 	for name, c := range map[string]struct {
 		before  func(p *serverProxy)
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -101,6 +101,7 @@
 
 func (n *Node) assemble() {
 	o := &n.Options
+	o.current = new(atomic.Pointer[Backend])
 	n.directory.Options = o
 	n.serverProxy.Options, n.serverProxy.changed = o, n.serverChanged
 	n.serverProxy.crash.Options, n.serverProxy.crash.notify = o, n.notifyCrash
@@ -141,9 +142,8 @@
 	return !n.stopping.Load() && n.follower.version() > 0 && n.joined.Load()
 }
 
-// Report processes a report of the backend server. It returns false for a report that
-// is older than the state already known.
-func (n *Node) Report(r roster.Report) bool { return n.serverProxy.report(r) }
+// Report processes a report of the backend server.
+func (n *Node) Report(r roster.Report) roster.Verdict { return n.serverProxy.report(r) }
 
 // Deregister deregisters the backend server with the given name and start time. It
 // returns false if that is not the current server.
@@ -249,7 +249,7 @@
 
 // onApplied is called when a new configuration is in force.
 func (n *Node) onApplied(t *route.Table) {
-	if s, ok := t.Service(n.Service); ok {
+	if s, ok := t.Service(n.backend().Service); ok {
 		n.serverProxy.setHealthPath(s.Health)
 	}
 	l := t.Document.Limits
--- a/internal/mesh/options.go
+++ b/internal/mesh/options.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -94,7 +95,7 @@
 	Node           string
 	Region, Domain string
 	// Service and Server are the service and the address (IP:port) of the backend
-	// server beside the node.
+	// server beside the node at the start. SetBackend changes both.
 	Service, Server string
 	// Caller and Peer are the addresses to listen on (IP:port).
 	Caller, Peer string
@@ -122,4 +123,24 @@
 	Costs placement.Costs
 	// Log is never nil.
 	Log log.Interface
+	// current is the backend server since the last SetBackend; nil before the start of a node.
+	current *atomic.Pointer[Backend]
+}
+
+// Backend is what the settings of a host say of the backend server on it. It is immutable.
+type Backend struct {
+	Service string
+	// Addr is IP:port.
+	Addr string
+}
+
+// backend returns the backend server by the settings in force. It is the only source of
+// its service and its address once a node runs.
+func (o *Options) backend() Backend {
+	if o.current != nil {
+		if b := o.current.Load(); b != nil {
+			return *b
+		}
+	}
+	return Backend{Service: o.Service, Addr: o.Server}
 }
--- a/internal/mesh/peer_messages.go
+++ b/internal/mesh/peer_messages.go
@@ -81,7 +81,7 @@
 	if !u.Entry.Leaving {
 		reply.Update.Left = left
 	}
-	if n.serverProxy.crash.unknown.Load() && u.Entry.Service == n.Service {
+	if n.serverProxy.crash.unknown.Load() && u.Entry.Service == n.backend().Service {
 		go func() {
 			if n.askCrashes(n.runCtx, u.Entry) {
 				n.crashesKnown()
--- a/internal/mesh/server_probe.go
+++ b/internal/mesh/server_probe.go
@@ -88,7 +88,7 @@
 func (p *serverProxy) probe(path string) (instance string, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	instance, load, healthy, err := p.pool.Probe(ctx, p.Server, path)
+	instance, load, healthy, err := p.pool.Probe(ctx, p.backend().Addr, path)
 	if err != nil {
 		return "", false
 	}
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -224,8 +224,8 @@
 		return fault.New(fault.KindNoServer, "node %s does not know yet which requests crash servers", p.Node).WithWait(retry.MinWait)
 	case p.server.ID == "" || p.down:
 		return fault.New(fault.KindNoServer, "no server runs beside node %s", p.Node).WithWait(retry.MinWait)
-	case r.Service != p.Service:
-		return fault.New(fault.KindNoServer, "the server beside node %s is of service %q", p.Node, p.Service)
+	case r.Service != p.backend().Service:
+		return fault.New(fault.KindNoServer, "the server beside node %s is of service %q", p.Node, p.backend().Service)
 	case p.server.State != roster.Ready:
 		return fault.New(fault.KindDraining, "server %s is leaving", p.server.ID).WithWait(retry.MinWait)
 	}
@@ -242,7 +242,7 @@
 	p.mu.Lock()
 	r.Target = p.server.ID
 	p.mu.Unlock()
-	answer, err := p.pool.Do(ctx, p.Server, r)
+	answer, err := p.pool.Do(ctx, p.backend().Addr, r)
 	if err != nil {
 		cancel()
 		failure := fault.As(err)
--- a/internal/mesh/shared_limits.go
+++ b/internal/mesh/shared_limits.go
@@ -20,7 +20,7 @@
 	defer d.mu.Unlock()
 	var all []slots.Summary
 	for node, l := range d.loads {
-		if e, ok := d.roster.Get(node); ok && l.summary != nil && e.Service == d.Service && node != d.Node {
+		if e, ok := d.roster.Get(node); ok && l.summary != nil && e.Service == d.backend().Service && node != d.Node {
 			all = append(all, l.summary)
 		}
 	}
@@ -34,7 +34,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e, ok := d.roster.Get(node)
-	if !ok || e.Service != d.Service || d.distance(e) == placement.OtherRegion {
+	if !ok || e.Service != d.backend().Service || d.distance(e) == placement.OtherRegion {
 		return false
 	}
 	l := d.loadOf(node)
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -4,9 +4,11 @@
 
 // Report is the state that a backend server reports, or that a probe has found.
 type Report struct {
-	ID    string
-	State State
-	Slots int
+	ID string
+	// Service and Addr are the server's own; empty where they are not known.
+	Service, Addr string
+	State         State
+	Slots         int
 	// StartTime is when the server started; it orders servers at one address.
 	StartTime int64
 	// Seq orders the reports of one server.
@@ -15,6 +17,18 @@
 	WarmUp time.Duration
 }
 
+// Verdict is what became of a report.
+type Verdict uint8
+
+const (
+	// Late means that the report is older than what is known, and has changed nothing.
+	Late Verdict = iota
+	// Taken means that the report is in force.
+	Taken
+	// Foreign means that the report is not from the server of this host.
+	Foreign
+)
+
 // Server tracks the backend server beside a node by its reports. A report may arrive
 // late, from a server that has since been replaced at its address. The zero value
 // knows no server.
