A server that answers a probe needs a reason to be trusted

Cause: serverFound took every server that answers the health check for the host's own, although the answer does not name its service; after a 421 a request that had waited for its slot went out without the server's name. Ruled out: a heartbeat of the other server that is taken in (the log shows them refused). Change: a server that answers is used at once only if it had this name before, has reported, is entered for the service by an earlier process, or the whole system starts for the first time; a request is bound to its server when it leaves the queue, and is handed back if the server has gone or the service has changed; a 421 counts against the server that was asked. A starting node reads its entry before it asks for the server's name.

--- a/internal/mesh/crash_detector.go
+++ b/internal/mesh/crash_detector.go
@@ -126,9 +126,6 @@
 func (p *serverProxy) connectionBroken(ctx context.Context, r call.Request, start quarantine.Start) {
 	ctx, cancel := context.WithTimeout(ctx, maxCrashWait)
 	defer cancel()
-	p.mu.Lock()
-	r.Target = p.server.ID
-	p.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -28,10 +28,10 @@
 // join publishes the entry of this node, reads the list of nodes, and sends the entry
 // to the nodes that do not know it.
 func (n *Node) join() {
+	restored := n.restore() // names the server that is expected
 	for start := time.Now(); time.Since(start) < serverNameTimeout && !n.serverProxy.serverKnown(); {
 		clock.Sleep(n.runCtx, serverNameTimeout/10)
 	}
-	restored := n.restore()
 	n.announcer.update(n.runCtx, func(e *roster.Entry) {
 		n.serverProxy.describe(e)
 		if n.Fresh {
@@ -95,7 +95,10 @@
 // takeOver takes over from an entry of an earlier process that the server is leaving.
 func (n *Node) takeOver(e roster.Entry) {
 	n.serverProxy.suggestLimit(initialLimit([]Member{{Entry: e}}, n.Node(), n.backend().Service))
-	if e.Leaving && n.serverProxy.deregister(e.Server, e.Born) {
+	switch {
+	case !e.Leaving:
+		n.serverProxy.expect(e)
+	case n.serverProxy.deregister(e.Server, e.Born):
 		n.Log.WithField("server", e.Server).Info("backend server was leaving before the start of this node")
 	}
 }
--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -7,7 +7,9 @@
 )
 
 // serverFound records the server that answered a probe, and applies its report that was
-// held back until then.
+// held back until then. The answer does not name the server's service, and the address may
+// belong to a server of another one by now: a server that is not known to be of this
+// service gets requests after its first report.
 func (p *serverProxy) serverFound(id string, healthy bool) {
 	p.mu.Lock()
 	var confirmed *roster.Report
@@ -18,17 +20,22 @@
 		}
 	}
 	replaced := p.server.ID != id
+	trusted := !replaced || p.trusts(id)
 	p.markUp(replaced)
-	if replaced {
+	switch {
+	case !trusted:
+		p.vacate()
+	case replaced:
 		state := roster.Draining
 		if healthy {
 			state = roster.Ready
 		}
+		p.settled = true
 		p.server = roster.Server{Report: roster.Report{ID: id, State: state, Slots: p.limiter.Limit.Slots()}}
 		p.limiter.SetClosed(!healthy)
 	}
 	p.mu.Unlock()
-	p.Log.WithField("server", id).WithField("healthy", healthy).Info("backend server answers")
+	p.Log.WithField("server", id).WithField("healthy", healthy).WithField("trusted", trusted).Info("backend server answers")
 	if replaced {
 		p.changed()
 	}
@@ -37,6 +44,33 @@
 	}
 }
 
+// trusts reports whether a server that has not reported yet is of this node's service. The
+// caller holds p.mu.
+func (p *serverProxy) trusts(id string) bool {
+	return id == p.expected || p.Fresh && !p.settled
+}
+
+// vacate records that the known server is not at its address any more. Requests that wait
+// for it are handed back. The caller holds p.mu.
+func (p *serverProxy) vacate() {
+	p.server.Vacate()
+	p.limiter.SetClosed(true)
+	p.limiter.Tick(time.Now())
+}
+
+// expect takes over the server from the entry of an earlier process of this node.
+func (p *serverProxy) expect(e roster.Entry) {
+	p.mu.Lock()
+	accept := !p.settled && e.Server != "" && e.Service == p.backend().Service
+	if accept {
+		p.expected = e.Server
+	}
+	p.mu.Unlock()
+	if accept {
+		go p.confirm()
+	}
+}
+
 // holdBack keeps a report that may have been sent before this process started, and may
 // therefore be older than what the server told an earlier process, until the server
 // itself has answered that it is healthy. The caller holds p.mu.
@@ -95,6 +129,7 @@
 		go p.confirm()
 		return roster.Taken
 	}
+	p.settled = true
 	old := p.server
 	changed, stale := p.server.Apply(r, time.Now())
 	if stale {
@@ -122,6 +157,7 @@
 	already := p.server.ID == id && p.server.State == roster.Gone
 	known := p.server.MarkGone(id, startTime, time.Now())
 	if known {
+		p.settled = true
 		p.limiter.SetClosed(true)
 	}
 	p.mu.Unlock()
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -42,6 +42,11 @@
 	doubtUntil time.Time
 	confirmed  string
 	held       *roster.Report
+	// settled is set once the server has reported or was taken over. Before, on a system
+	// that starts for the first time, the server that answers is the one of the settings.
+	// expected is the name of the server of an earlier process; empty if there is none.
+	settled  bool
+	expected string
 	// down is set while the server accepts no connections.
 	down bool
 	// lastRequest is when the last request arrived, and probing whether the probe
@@ -112,8 +117,14 @@
 		p.release(run)
 		return sendResult{err: err, load: p.load()}
 	}
+	addr, err := p.address(&r)
+	if err != nil {
+		p.crash.end(start, true)
+		p.release(run)
+		return sendResult{err: err, load: p.load()}
+	}
 	p.runs.Add(r.ID, r.Priority, r.Deadline)
-	answer, failure := p.run(ctx, r)
+	answer, failure := p.run(ctx, addr, r)
 	calls := p.runs.Remove(r.ID)
 	p.leave(run, answer, failure, calls.Failed)
 	if failure != nil && (failure.Kind == fault.KindServerLost || failure.Kind == fault.KindCutShort) {
@@ -125,7 +136,7 @@
 		return sendResult{err: failure, load: p.load(), ran: failure.Outcome != fault.Refused, calls: calls}
 	}
 	if answer.Outcome == fault.Refused {
-		p.checkMisdirected(answer)
+		p.checkMisdirected(r.Target, answer)
 		return sendResult{load: p.load(), err: fault.New(fault.KindShed, "the backend server did not run the request: status %d", answer.Status)}
 	}
 	p.sizes.observe(r.Route, answer.Length)
@@ -232,17 +243,27 @@
 	return nil
 }
 
+// address sets the name of the server that a request is for, and returns the server's
+// address. The server may have gone, or changed its service, while the request waited.
+func (p *serverProxy) address(r *call.Request) (string, *fault.Error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.backend()
+	if p.server.ID == "" || p.server.State == roster.Gone || r.Service != b.Service {
+		return "", fault.New(fault.KindNoServer, "the server beside node %s has gone", p.Node).WithWait(retry.MinWait)
+	}
+	r.Target = p.server.ID
+	return b.Addr, nil
+}
+
 // run sends the request to the server. A request that is not idempotent goes on when
 // its caller disconnects: a half-executed order is worse than an unread answer.
-func (p *serverProxy) run(ctx context.Context, r call.Request) (*call.Answer, *fault.Error) {
+func (p *serverProxy) run(ctx context.Context, addr string, r call.Request) (*call.Answer, *fault.Error) {
 	if !r.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(answerGrace))
-	p.mu.Lock()
-	r.Target = p.server.ID
-	p.mu.Unlock()
-	answer, err := p.pool.Do(ctx, p.backend().Addr, r)
+	answer, err := p.pool.Do(ctx, addr, r)
 	if err != nil {
 		cancel()
 		failure := fault.As(err)
@@ -282,16 +303,21 @@
 }
 
 // checkMisdirected processes an answer to a request that was not run. Status 421
-// means that another server listens at the address.
-func (p *serverProxy) checkMisdirected(answer *call.Answer) {
+// means that another server listens at the address than the one that the request was for.
+func (p *serverProxy) checkMisdirected(target string, answer *call.Answer) {
 	if answer.Status != http.StatusMisdirectedRequest {
 		return
 	}
 	p.mu.Lock()
-	id := p.server.ID
-	p.server = roster.Server{}
+	current := p.server.ID == target
+	if current {
+		p.vacate()
+	}
 	p.mu.Unlock()
-	p.Log.WithField("server", id).Warn("another server has taken over the address")
+	if !current {
+		return // another one has reported since
+	}
+	p.Log.WithField("server", target).Warn("another server has taken over the address")
 	p.changed()
 	go p.findServer()
 }
--- a/internal/mesh/set_backend.go
+++ b/internal/mesh/set_backend.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/vanillasail/vanillasail/pkg/roster"
 	"github.com/vanillasail/vanillasail/pkg/slots"
 )
 
@@ -46,7 +45,8 @@
 		p.crash.unknown.Store(true)
 	}
 	p.current.Store(&b)
-	p.server, p.held, p.confirmed, p.down = roster.Server{}, nil, "", false
+	p.server.Vacate()
+	p.held, p.confirmed, p.expected, p.settled, p.down = nil, "", "", true, false
 	p.limiter.Limit, p.suggestedLimit, p.noSlowdown = slots.Limit{}, 0, false
 	p.limiter.Restarted()
 	p.limiter.SetClosed(true)
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -47,7 +47,7 @@
 // Apply applies a report and returns whether it changed what other nodes need to
 // know. stale is set if the report is older than the known state.
 func (s *Server) Apply(r Report, now time.Time) (changed, stale bool) {
-	if s.ID != "" && s.isStale(r, now) {
+	if s.isStale(r, now) {
 		return false, true
 	}
 	old := s.Report
@@ -68,6 +68,16 @@
 	return r.Seq < s.Seq || s.State == Gone && r.State != Gone && r.StartTime == s.StartTime && s.StartTime != 0
 }
 
+// Vacate records that another server, which has not reported, is at the address. The start
+// time is kept, because later servers have later ones, and so is a leaving.
+func (s *Server) Vacate() {
+	if s.leaving {
+		s.State = Gone
+		return
+	}
+	s.Report = Report{StartTime: s.StartTime}
+}
+
 // Leaving reports whether the server itself has reported that it is leaving or gone.
 // A failed health check does not count.
 func (s *Server) Leaving() bool { return s.leaving }
