A report that comes before the node has started is taken

Cause: the listener for heartbeats opens before the node is assembled. An early heartbeat hit a nil pointer; the panic was caught without a log line. Found by the stacks of a node that hung (40 goroutines wait for the lock, none holds it). Result: TestReportBeforeTheStart panicked before and passes; go test -race ./internal/mesh passed.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,7 @@
 	uplink uplink.Link
 	sizes  answerSizes
 
+	assembled sync.Once
 	// runCtx ends when the node stops.
 	runCtx   context.Context
 	cancel   context.CancelFunc
@@ -99,7 +101,11 @@
 // Node returns the name of the node.
 func (n *Node) Node() string { return n.Options.Node }
 
-func (n *Node) assemble() {
+// assemble connects the parts of the node. The server may report, and the node may be asked
+// for its state, before the node has started.
+func (n *Node) assemble() { n.assembled.Do(n.connect) }
+
+func (n *Node) connect() {
 	o := &n.Options
 	o.current = new(atomic.Pointer[Backend])
 	n.directory.Options = o
@@ -143,11 +149,15 @@
 }
 
 // Report processes a report of the backend server.
-func (n *Node) Report(r roster.Report) roster.Verdict { return n.serverProxy.report(r) }
+func (n *Node) Report(r roster.Report) roster.Verdict {
+	n.assemble()
+	return n.serverProxy.report(r)
+}
 
 // Deregister deregisters the backend server with the given name and start time. It
-// returns false if that is not the current server.
+// returns false if that is neither the current server nor a later one.
 func (n *Node) Deregister(id string, startTime int64) bool {
+	n.assemble()
 	return n.serverProxy.deregister(id, startTime)
 }
 
@@ -338,6 +348,7 @@
 
 // MetricsText returns the counters, latencies and gauges of this node as text.
 func (n *Node) MetricsText() string {
+	n.assemble()
 	load := n.serverProxy.load()
 	return n.requestMetrics.text() + fmt.Sprintf(
 		"vanillasail_server_running %d\nvanillasail_server_waiting %d\nvanillasail_server_limit %d\nvanillasail_server_slots %d\nvanillasail_server_pace %.2f\nvanillasail_nodes %d\nvanillasail_links %d\nvanillasail_configuration_version %d\nvanillasail_configuration_newest %d\nvanillasail_configuration_behind_seconds %.3f\nvanillasail_configuration_failed_fetches_total %d\nvanillasail_late_acknowledgements_total %d\nvanillasail_cut_connections_total %d\n",
