A leaving is acknowledged only if it was taken in

Cause: a deregistration with a later start time than the known one counted as one of an earlier process, and was answered 200 though ignored; so was a late report of draining.

--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -76,7 +76,7 @@
 	old := a.own
 	change(&a.own)
 	a.own.Change++
-	if a.own.Leaving && (!old.Leaving || old.Server != a.own.Server) {
+	if a.own.Leaving && (!old.Leaving || old.Server != a.own.Server || old.Born != a.own.Born) {
 		a.leaving = a.own.Change
 	}
 	own := a.own
--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -14,7 +14,7 @@
 	p.mu.Lock()
 	var confirmed *roster.Report
 	if healthy {
-		p.confirmed = id
+		p.confirmed, p.confirmedAt = id, time.Now()
 		if p.held != nil && p.held.ID == id {
 			confirmed, p.held = p.held, nil
 		}
@@ -31,7 +31,7 @@
 			state = roster.Ready
 		}
 		p.settled = true
-		p.server = roster.Server{Report: roster.Report{ID: id, State: state, Slots: p.limiter.Limit.Slots()}}
+		p.server.Find(roster.Report{ID: id, State: state, Slots: p.limiter.Limit.Slots()})
 		p.limiter.SetClosed(!healthy)
 	}
 	p.mu.Unlock()
@@ -71,11 +71,16 @@
 	}
 }
 
-// holdBack keeps a report that may have been sent before this process started, and may
-// therefore be older than what the server told an earlier process, until the server
-// itself has answered that it is healthy. The caller holds p.mu.
+// holdBack keeps a report that may be older than what is known, until the server itself has
+// answered that it is healthy: one that may have been sent before this process started, and
+// one that may be from before the last leaving. The caller holds p.mu.
 func (p *serverProxy) holdBack(r roster.Report, now time.Time) bool {
-	if r.State != roster.Ready || p.confirmed == r.ID || !now.Before(p.doubtUntil) {
+	if r.State != roster.Ready || p.server.IsStale(r, now) {
+		return false
+	}
+	fromBefore := now.Before(p.doubtUntil) && p.confirmed != r.ID
+	beforeLeaving := p.server.Doubtful(r, now) && (p.confirmed != r.ID || p.confirmedAt.Before(p.server.LeftAt()))
+	if !fromBefore && !beforeLeaving {
 		return false
 	}
 	if h := p.held; h == nil || h.ID != r.ID || h.StartTime != r.StartTime || h.Seq < r.Seq {
@@ -151,21 +156,23 @@
 }
 
 // deregister marks the server with the given name and start time as gone. It returns
-// false if that is not the current server.
+// false if that is neither the current server nor a later one.
 func (p *serverProxy) deregister(id string, startTime int64) bool {
 	p.mu.Lock()
-	already := p.server.ID == id && p.server.State == roster.Gone
-	known := p.server.MarkGone(id, startTime, time.Now())
-	if known {
+	old := p.server.Report
+	taken := p.server.MarkGone(id, startTime, time.Now())
+	changed := taken && (old.ID != id || old.State != roster.Gone || old.StartTime != p.server.StartTime)
+	if taken {
 		p.settled = true
 		p.limiter.SetClosed(true)
 	}
 	p.mu.Unlock()
-	if known && !already {
-		p.Log.WithField("server", id).Info("backend server left")
+	if changed {
+		p.Log.WithField("server", id).WithField("born", startTime).WithField("known", old.ID).WithField("known_born", old.StartTime).
+			Info("backend server left")
 		p.changed()
 	}
-	return known
+	return taken
 }
 
 func (p *serverProxy) serverGone() bool {
@@ -193,7 +200,7 @@
 	}
 	e.Leaving, e.Born = p.server.Leaving(), 0
 	if e.Leaving {
-		e.Born = p.server.StartTime
+		e.Born = p.server.LeftStart()
 	}
 	if e.Slots == 0 {
 		e.Slots = p.server.Slots
--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -37,11 +37,12 @@
 	limiter slots.Limiter
 	server  roster.Server
 	// Until doubtUntil, a report may have been sent to an earlier process. confirmed is the
-	// name of the server that was healthy when this process asked it, and held the newest
-	// report that waits for that; nil if there is none.
-	doubtUntil time.Time
-	confirmed  string
-	held       *roster.Report
+	// name of the server that was healthy when this process last asked, at confirmedAt, and
+	// held the newest report that waits for that; nil if there is none.
+	doubtUntil  time.Time
+	confirmed   string
+	confirmedAt time.Time
+	held        *roster.Report
 	// settled is set once the server has reported or was taken over. Before, on a system
 	// that starts for the first time, the server that answers is the one of the settings.
 	// expected is the name of the server of an earlier process; empty if there is none.
