Requests read behind others during a stop are answered

Cause: a draining server began no request behind another and closed the connection behind the first answer. Change: the connection ends behind the last request that was read.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -40,11 +40,7 @@
 }
 
 // beginWaiting begins the requests that may run beside the first one of a connection.
-// While the server drains it begins none, so that connections come to an end.
 func (s *Server) beginWaiting(c *conn) {
-	if s.isDraining() {
-		return
-	}
 	for _, x := range c.pipeline.startable() {
 		go func() { x.answered <- s.run(c, x) }()
 	}
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -107,14 +107,15 @@
 }
 
 // isLast reports whether the connection closes after the answer to the first request,
-// and lets no further request begin in that case.
+// and lets no further request begin in that case. While the server drains that is the
+// last one that was read.
 func (p *pipeline) isLast(draining bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case len(p.queue) == 1 && p.badInput == nil && p.ended:
 		p.sealed = true
-	case draining && (len(p.queue) == 1 || !p.queue[1].begun):
+	case draining && len(p.queue) == 1:
 		p.sealed = true
 	}
 	return p.sealed
