A refusal of a server that may have run the order is passed on as 502

Cause: an answer's status was passed on as it was; only the header for 'not executed' tells a refusal from a failure. Evidence: the case '503 after the run' of TestFailuresOfServers failed before and passes; go test ./internal/mesh passed.

--- a/internal/mesh/server_proxy.go
+++ b/internal/mesh/server_proxy.go
@@ -140,11 +140,22 @@
 		p.checkMisdirected(r.Target, answer)
 		return sendResult{load: p.load(), err: fault.New(fault.KindShed, "the backend server did not run the request: status %d", answer.Status)}
 	}
+	if !r.Idempotent && promisesNotRun[answer.Status] {
+		if answer.Body != nil {
+			_ = answer.Body.Close()
+		}
+		return sendResult{load: p.load(), ran: true, calls: calls, err: fault.New(fault.KindCutShort, "the backend server answered %d to a request that it may have run", answer.Status)}
+	}
 	p.sizes.observe(r.Route, answer.Length)
 	answer.Load = p.load()
 	return sendResult{answer: answer, load: answer.Load, ran: true, calls: calls}
 }
 
+// promisesNotRun holds the statuses by which callers take a request for not run.
+var promisesNotRun = map[int]bool{
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+}
+
 // release frees the slot of a request that did not begin.
 func (p *serverProxy) release(run *slots.Run) {
 	p.mu.Lock()
@@ -244,19 +255,6 @@
 	return nil
 }
 
-// address sets the name of the server that a request is for, and returns the server's
-// address. The server may have gone, or changed its service, while the request waited.
-func (p *serverProxy) address(r *call.Request) (string, *fault.Error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	b := p.backend()
-	if p.server.ID == "" || p.server.State == roster.Gone || r.Service != b.Service {
-		return "", fault.New(fault.KindNoServer, "the server beside node %s has gone", p.Node).WithWait(retry.MinWait)
-	}
-	r.Target = p.server.ID
-	return b.Addr, nil
-}
-
 // run sends the request to the server. A request that is not idempotent goes on when
 // its caller disconnects: a half-executed order is worse than an unread answer.
 func (p *serverProxy) run(ctx context.Context, addr string, r call.Request) (*call.Answer, *fault.Error) {
@@ -303,40 +301,6 @@
 	}
 }
 
-// checkMisdirected processes an answer to a request that was not run. Status 421
-// means that another server listens at the address than the one that the request was for.
-func (p *serverProxy) checkMisdirected(target string, answer *call.Answer) {
-	if answer.Status != http.StatusMisdirectedRequest {
-		return
-	}
-	p.mu.Lock()
-	current := p.server.ID == target
-	if current {
-		p.vacate()
-	}
-	p.mu.Unlock()
-	if !current {
-		return // another one has reported since
-	}
-	p.Log.WithField("server", target).Warn("another server has taken over the address")
-	p.changed()
-	go p.findServer()
-}
-
-// markDown is called when the server accepts no connection.
-func (p *serverProxy) markDown() {
-	p.mu.Lock()
-	alreadyDown := p.down
-	p.down = true
-	id := p.server.ID
-	p.mu.Unlock()
-	if alreadyDown {
-		return
-	}
-	p.Log.WithField("server", id).Warn("the backend server accepts no connection")
-	go p.findServer()
-}
-
 // load returns the load figures that are sent with answers.
 func (p *serverProxy) load() call.Load {
 	p.mu.Lock()
