internal/daemon: late announcements change nothing

Cause: an announcement has no order, so a late one with ready brought a draining server back into use until the next one, 0.5 s later. Change: the optional field born, the start of the process; an announcement of an earlier process, or from before draining, gets 409. After 5 s without an accepted one the order is forgotten, since clocks go back. The stand-in states it. Result: TestLateAnnouncementsChangeNothing fails in two cases without the check and passes; internal/daemon and the scenarios with the race detector passed.

--- a/internal/daemon/announcement_test.go
+++ b/internal/daemon/announcement_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -36,3 +37,39 @@
 		})
 	}
 }
+
+// Guards against a late announcement that brings a draining server, or one of before, back
+// into use.
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const addr, other = "127.0.0.1:1", "127.0.0.1:2"
+	for name, c := range map[string]struct {
+		first, second announcement
+		// after is the time between the two.
+		after           time.Duration
+		late, restarted bool
+	}{
+		"next":                     {announcement{"s", addr, 4, stateReady, 5}, announcement{"s", addr, 4, stateReady, 5}, 0, false, false},
+		"drains":                   {announcement{"s", addr, 4, stateReady, 5}, announcement{"s", addr, 4, stateDraining, 5}, 0, false, false},
+		"from before draining":     {announcement{"s", addr, 4, stateDraining, 5}, announcement{"s", addr, 4, stateReady, 5}, 0, true, false},
+		"next process":             {announcement{"s", addr, 4, stateDraining, 5}, announcement{"s", addr, 4, stateReady, 6}, 0, false, true},
+		"process of before":        {announcement{"s", addr, 4, stateReady, 5}, announcement{"t", other, 4, stateReady, 4}, 0, true, false},
+		"clock went back":          {announcement{"s", addr, 4, stateReady, 5}, announcement{"s", addr, 4, stateReady, 4}, announceTTL, false, false},
+		"no start":                 {announcement{"s", addr, 4, stateDraining, 0}, announcement{"s", addr, 4, stateReady, 0}, 0, false, false},
+		"no start, another server": {announcement{"s", addr, 4, stateReady, 0}, announcement{"t", other, 4, stateReady, 0}, 0, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l localServer
+			_, _, late := l.update(c.first, now)
+			assert.Assert(t, !late)
+			_, restarted, late := l.update(c.second, now.Add(c.after))
+			assert.Equal(t, late, c.late)
+			assert.Equal(t, restarted, c.restarted)
+			want := c.second
+			if c.late {
+				want = c.first
+			}
+			assert.Equal(t, l.get(), want)
+		})
+	}
+}
--- a/internal/daemon/local_server.go
+++ b/internal/daemon/local_server.go
@@ -22,6 +22,9 @@
 	Addr    string `json:"addr"`
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
+	// Born is the start of the server's process in Unix milliseconds, which orders
+	// announcements that arrive late; zero where the server does not state it.
+	Born int64 `json:"born,omitempty"`
 }
 
 // valid reports whether a backend server can have sent the announcement. The service is
@@ -39,6 +42,10 @@
 	announcedAt time.Time
 	// announced is set by the first announcement and stays set.
 	announced bool
+	// newest is the latest start of a process that was announced, and left whether that one
+	// has announced that it drains.
+	newest int64
+	left   bool
 	// drained is set while the configuration drains the server.
 	drained bool
 }
@@ -51,14 +58,27 @@
 }
 
 // update records an announcement. It reports whether anything changed, and whether a
-// different server process is announced, which starts cold.
-func (l *localServer) update(a announcement, now time.Time) (changed, restarted bool) {
+// different server process is announced, which starts cold. late is set, and nothing is
+// recorded, if it was sent before an announcement that is known: by an earlier process, or
+// before its process began to drain.
+func (l *localServer) update(a announcement, now time.Time) (changed, restarted, late bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if now.Sub(l.announcedAt) >= announceTTL {
+		l.newest, l.left = 0, false // no announcement is that late, but clocks go back
+	}
+	if a.Born != 0 && (a.Born < l.newest || a.Born == l.newest && l.left && a.State == stateReady) {
+		return false, false, true
+	}
+	if a.Born > l.newest {
+		restarted = l.newest != 0
+		l.newest, l.left = a.Born, false
+	}
+	l.left = l.left || a.Born != 0 && a.State == stateDraining
 	changed = l.last != a
-	restarted = l.announced && l.last.Addr != a.Addr
+	restarted = restarted || l.announced && l.last.Addr != a.Addr
 	l.last, l.announcedAt, l.announced = a, now, true
-	return changed, restarted
+	return changed, restarted, false
 }
 
 // expire removes a server that has stopped announcing itself.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -232,10 +232,14 @@
 	var a announcement
 	if err := json.Unmarshal(body, &a); err != nil || !a.valid() {
 		n.Log.WithField("node", n.ID).WithField("announcement", fmt.Sprintf("%.200s", body)).Warn("announcement refused")
-		return http1.Text(http.StatusBadRequest, `send {"service":"...","addr":"IP:port","slots":1 or more,"state":"ready" or "draining"}`)
+		return http1.Text(http.StatusBadRequest, `send {"service":"...","addr":"IP:port","slots":1 or more,"state":"ready" or "draining","born":start of the process in Unix milliseconds (optional)}`)
 	}
 	now := time.Now()
-	changed, restarted := n.local.update(a, now)
+	changed, restarted, late := n.local.update(a, now)
+	if late {
+		n.Log.WithField("node", n.ID).WithField("server", a.Addr).WithField("state", a.State).WithField("born", a.Born).Warn("late announcement ignored")
+		return http1.Text(http.StatusConflict, "a later announcement is known")
+	}
 	if restarted {
 		n.admission.queue.SlowStart(now)
 	}
--- a/internal/standin/server/announce.go
+++ b/internal/standin/server/announce.go
@@ -16,6 +16,7 @@
 	Addr    string `json:"addr"`
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
+	Born    int64  `json:"born"`
 }
 
 func (s *Server) announceLoop(ctx context.Context) {
@@ -37,7 +38,7 @@
 	if addr == "" {
 		addr = s.Addr()
 	}
-	body, err := json.Marshal(announcement{Service: s.Service, Addr: addr, Slots: s.Slots, State: state})
+	body, err := json.Marshal(announcement{Service: s.Service, Addr: addr, Slots: s.Slots, State: state, Born: s.born})
 	if err != nil || s.Announce == "" {
 		return
 	}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -45,6 +45,8 @@
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 	client   http.Client
+	// born is the start of this process in Unix milliseconds.
+	born int64
 }
 
 // Start listens on addr and announces the server to its node periodically.
@@ -54,6 +56,7 @@
 	}
 	s.slots = make(chan struct{}, s.Slots)
 	s.state.Store("ready")
+	s.born = time.Now().UnixMilli()
 	if err := s.Journal.open(s.JournalPath); err != nil {
 		return err
 	}
