A server whose clock went back is used again

After a step back of a host's clock, the reports of the next server count as older than those of the one before it, and since a probe alone is no reason to trust it, it would never get requests. Cause: the start time is the only order of two servers at one address. Change: a late report of a server with another name, which has not left, makes the node probe the address; if that server answers, the known start time is dropped. Leavings stay.

--- a/internal/mesh/another_service_test.go
+++ b/internal/mesh/another_service_test.go
@@ -106,7 +106,21 @@
 		"back under its name":       {true, func(n *Node) { n.Report(first); n.serverProxy.markDown(); n.serverProxy.serverFound("a", true) }, "a"},
 		"another one after a crash": {true, func(n *Node) { n.Report(first); n.serverProxy.markDown(); n.serverProxy.serverFound("b", true) }, ""},
 		"it reports":                {true, func(n *Node) { n.Report(first); n.serverProxy.serverFound("b", true); n.Report(next) }, "b"},
-		"its report was held back":  {false, func(n *Node) { n.Report(next); n.serverProxy.serverFound("b", true) }, "b"},
+		"clock went back": {true, func(n *Node) {
+			n.Report(next)
+			n.serverProxy.markDown()
+			n.Report(first)
+			n.serverProxy.serverFound("a", true)
+		}, "a"},
+		"report of an earlier server": {true, func(n *Node) { n.Report(next); n.Report(first); n.serverProxy.serverFound("b", true) }, "b"},
+		"report of a server that left": {true, func(n *Node) {
+			n.Report(first)
+			n.Deregister("a", 5)
+			n.Report(next)
+			n.Report(first)
+			n.serverProxy.serverFound("a", true)
+		}, ""},
+		"its report was held back": {false, func(n *Node) { n.Report(next); n.serverProxy.serverFound("b", true) }, "b"},
 		"it reports another service": {true, func(n *Node) {
 			n.Report(first)
 			n.serverProxy.serverFound("b", true)
--- a/internal/mesh/local_server.go
+++ b/internal/mesh/local_server.go
@@ -23,6 +23,8 @@
 	trusted := !replaced || p.trusts(id)
 	p.markUp(replaced)
 	switch {
+	case confirmed != nil && replaced:
+		p.server.Displace()
 	case !trusted:
 		p.vacate()
 	case replaced:
@@ -138,7 +140,15 @@
 	old := p.server
 	changed, stale := p.server.Apply(r, time.Now())
 	if stale {
+		// Unless the clock of the host has gone back, its server has another name by now.
+		ask := r.State == roster.Ready && r.ID != p.server.ID && !p.server.HasLeft(r, time.Now())
+		if ask {
+			p.held = &r
+		}
 		p.mu.Unlock()
+		if ask {
+			go p.confirm()
+		}
 		return roster.Late
 	}
 	p.markUp(old.ID != r.ID || old.StartTime != 0 && old.StartTime != r.StartTime)
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -1,6 +1,9 @@
 package roster
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Report is the state that a backend server reports, or that a probe has found.
 type Report struct {
@@ -100,12 +103,9 @@
 	if r.StartTime == 0 && s.StartTime != 0 {
 		return true // servers that state their start do so in every report
 	}
-	for _, d := range s.left {
-		if d.covers(r, now) {
-			return true
-		}
-	}
 	switch {
+	case s.HasLeft(r, now):
+		return true
 	case r.State != Ready && s.Doubtful(r, now):
 		return true
 	case s.StartTime == 0 && r.StartTime != 0:
@@ -119,6 +119,11 @@
 	}
 }
 
+// HasLeft reports whether a report is from a server whose leaving was taken in.
+func (s *Server) HasLeft(r Report, now time.Time) bool {
+	return slices.ContainsFunc(s.left, func(d departure) bool { return d.covers(r, now) })
+}
+
 // Doubtful reports whether a report may be from before or from after the server that was the
 // last to leave, because that one did not state its start. Only a probe can tell which
 // server is at the address.
@@ -162,6 +167,10 @@
 // A failed health check does not count.
 func (s *Server) Leaving() bool { return s.leaving }
 
+// Displace records that a probe has found a server at the address whose report counts as
+// older than the known one: the clock of the host has gone back. The leavings are kept.
+func (s *Server) Displace() { s.Report, s.leaving = Report{}, false }
+
 // LeftAt returns when the last leaving was taken in.
 func (s *Server) LeftAt() time.Time {
 	if len(s.left) == 0 {
--- a/pkg/roster/server_model_test.go
+++ b/pkg/roster/server_model_test.go
@@ -134,6 +134,11 @@
 		// A probe finds another server.
 	default:
 		_, stale := h.server.Apply(m.Report, h.now)
+		if stale && m.State == Ready && m.ID != h.server.ID && !h.server.HasLeft(m.Report, h.now) && h.live != nil && h.live.id == m.ID {
+			// A probe finds the server that the report names.
+			h.server.Displace()
+			_, stale = h.server.Apply(m.Report, h.now)
+		}
 		taken = !stale
 	}
 	h.note("%d: %s %d %s seq %d deregistration %v taken %v", h.now.UnixMilli(), m.ID, m.StartTime, m.State, m.Seq, m.deregistration, taken)
