internal/backend: Pool takes no reset connection for the end of a body

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection; the caller got the part as the whole answer.

Cause: the kernel reports a reset once. While the request is still being written, the write mostly gets the error, and the read after it sees an end, like that of a connection that was closed in good order. Pool reads in one goroutine, writes in another, and looked at the result of the write only to decide whether the connection can be kept.

Change: where only the end of the connection shows where a body ends, the end counts once the whole request was sent. The reader waits for the result of the write, at most up to the deadline, so it does not matter which of the two comes first. Bodies with a length or in chunks show their end themselves and arrive as before.

--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -213,7 +213,7 @@
 		stream := &endlessConn{first: first, text: text}
 		p := Pool{HeaderNames: testHeaderNames}
 		c := newServerConn(stream, 0)
-		if response, err := p.read(c, request(http.MethodGet)); err == nil {
+		if response, err := p.read(c, request(http.MethodGet), sentRequest()); err == nil {
 			_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bufferedAnswer))
 		}
 		assert.Assert(t, stream.read.Load() < endlessSent, "the pool read %d bytes", stream.read.Load())
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -72,18 +72,18 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	written := p.write(c, r)
-	response, err := p.read(c, r)
+	sent := p.write(c, r)
+	response, err := p.read(c, r, sent)
 	if err != nil {
 		stop()
 		_ = c.Close()
 		return nil, classifySent(ctx, err)
 	}
-	return p.readBody(ctx, c, r, response, written, stop)
+	return p.readBody(ctx, c, r, response, sent, stop)
 }
 
 // readBody reads up to bufferedAnswer bytes of the body and returns the answer.
-func (p *Pool) readBody(ctx context.Context, c *serverConn, r call.Request, response *http.Response, written <-chan error, stop func() bool) (*call.Answer, error) {
+func (p *Pool) readBody(ctx context.Context, c *serverConn, r call.Request, response *http.Response, sent *sending, stop func() bool) (*call.Answer, error) {
 	load, ok := p.HeaderNames.parseLoad(response.Header)
 	if ok && p.Observe != nil {
 		p.Observe(load)
@@ -110,13 +110,8 @@
 		answer.Outcome = fault.Refused
 	}
 	done := func() {
-		select {
-		case err := <-written:
-			c.mustClose = c.mustClose || err != nil
-		default:
-			c.mustClose = true // the server answered before it had read the complete body
-		}
-		if !stop() {
+		// The server may have answered before it had read the complete body.
+		if !sent.complete() || !stop() {
 			c.mustClose = true
 		}
 		p.put(c)
@@ -133,32 +128,32 @@
 	return answer, nil
 }
 
-// write sends the request and returns a channel for the result. A small request is
-// written synchronously. A large one is written in a goroutine while the answer is
-// read, because the server may answer before it has read the complete request.
-func (p *Pool) write(c *serverConn, r call.Request) <-chan error {
+// write sends the request. A small request is written synchronously. A large one is
+// written in a goroutine while the answer is read, because the server may answer before
+// it has read the complete request.
+func (p *Pool) write(c *serverConn, r call.Request) *sending {
 	left := int64(0)
 	if !r.Deadline.IsZero() {
 		left = max(time.Until(r.Deadline).Milliseconds(), 1)
 	}
-	written := make(chan error, 1)
+	sent := &sending{done: make(chan struct{})}
 	head := p.HeaderNames.appendHead(make([]byte, 0, 512), r, left)
 	if len(head)+len(r.Body) <= maxSyncWrite {
 		_, err := c.Write(append(head, r.Body...))
-		written <- err
-		return written
+		sent.end(err)
+		return sent
 	}
 	go func() {
 		buffers := net.Buffers{head, r.Body}
 		_, err := buffers.WriteTo(c.Conn.Conn) // net.TCPConn writes both at once
-		written <- err
+		sent.end(err)
 	}()
-	return written
+	return sent
 }
 
 // read returns the answer to the request. It skips informational responses and
 // late answers to earlier requests on the same connection.
-func (p *Pool) read(c *serverConn, r call.Request) (*http.Response, error) {
+func (p *Pool) read(c *serverConn, r call.Request, sent *sending) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxSkipped {
 		response, err := c.readHead(request)
@@ -170,7 +165,12 @@
 		}
 		if p.HeaderNames.ID == "" || response.Header.Get(p.HeaderNames.ID) == r.ID {
 			c.Next()
-			response.Body = &pacedBody{ReadCloser: response.Body, conn: &c.Conn}
+			paced := &pacedBody{ReadCloser: response.Body, conn: &c.Conn}
+			if endsWithConn(response) {
+				response.Body = &unframedBody{ReadCloser: paced, sent: sent}
+			} else {
+				response.Body = paced
+			}
 			return response, nil
 		}
 		c.mustClose = true
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -165,7 +165,7 @@
 		r := call.Request{ID: "1", Method: http.MethodGet, URI: "/"}
 		c := newServerConn(near, 0)
 		defer c.Close()
-		response, err := p.read(c, r)
+		response, err := p.read(c, r, sentRequest())
 		if err != nil {
 			return
 		}
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -18,7 +18,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	r := call.Request{Method: http.MethodGet, URI: path, Host: addr}
-	if err = <-p.write(c, r); err == nil {
+	if err = p.write(c, r).wait(); err == nil {
 		var response *http.Response
 		response, err = c.readHead(&http.Request{Method: r.Method})
 		if err == nil {
--- /dev/null
+++ b/internal/standin/broken/server.go
@@ -0,0 +1,139 @@
+// Package broken stands in for a server in trouble whose answers violate HTTP/1.1 or whose
+// connections end in the middle of them.
+package broken
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// End is what the server does with a connection after an answer.
+type End int
+
+// Ends of connections.
+const (
+	// Keep reads the rest of the request and waits for the next one.
+	Keep End = iota
+	// Close closes the connection. The kernel resets it if bytes of the request are unread.
+	Close
+	// HalfClose ends the answer and then reads the rest of the request.
+	HalfClose
+	// Reset resets the connection.
+	Reset
+)
+
+// ID stands in Server.Answer for the ID of the request.
+const ID = "{id}"
+
+// HealthPath is the path of requests that get Server.Health.
+const HealthPath = "/health"
+
+// Server answers each request with Answer. Set the exported fields before Start.
+type Server struct {
+	// Answer is sent as it is, with ID replaced.
+	Answer string
+	// Health is sent to requests for HealthPath; empty means Answer.
+	Health string
+	// Header is the header of a request that contains its ID.
+	Header string
+	// Early sends the answer before the body of the request is read.
+	Early bool
+	// End is what follows the answer.
+	End End
+
+	listener net.Listener
+	mu       sync.Mutex
+	// requests counts the requests by ID, without those for Health.
+	requests map[string]int
+	// conns holds the open connections.
+	conns map[net.Conn]bool
+}
+
+// Start listens on addr and passes Stop to cleanup.
+func (s *Server) Start(addr string, cleanup func(func())) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s.listener, s.requests, s.conns = listener, make(map[string]int), make(map[net.Conn]bool)
+	cleanup(s.Stop)
+	go func() {
+		for c, err := listener.Accept(); err == nil; c, err = listener.Accept() {
+			go s.serve(c.(*net.TCPConn))
+		}
+	}()
+	return nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// Requests returns how often a request has arrived.
+func (s *Server) Requests(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[id]
+}
+
+func (s *Server) serve(c *net.TCPConn) {
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if s.Health != "" && r.URL.Path == HealthPath {
+			_, _ = io.WriteString(c, s.Health)
+			continue
+		}
+		if !s.answer(c, r) {
+			return
+		}
+	}
+}
+
+// answer answers one request and reports whether the connection stays open.
+func (s *Server) answer(c *net.TCPConn, r *http.Request) bool {
+	id := r.Header.Get(s.Header)
+	s.mu.Lock()
+	s.requests[id]++
+	s.mu.Unlock()
+	if !s.Early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	_, _ = io.WriteString(c, strings.ReplaceAll(s.Answer, ID, id))
+	switch s.End {
+	case Reset:
+		_ = c.SetLinger(0)
+	case HalfClose:
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, r.Body)
+	case Keep:
+		_, _ = io.Copy(io.Discard, r.Body)
+		return true
+	}
+	return false
+}
