internal/backend: Client takes no reset connection for the end of a body

What callers saw: as with Pool, a part of an answer without a length passed for the whole one when the server reset the connection during an upload; here in nodes of package daemon.

Cause: the same as in Pool (a write takes the error of the reset, the read after it sees an end). net/http ends such a body at the first io.EOF. It closes the connection when the write fails, which mostly comes first and hid the fault.

Change: the connection counts the bytes that were sent. If only its end shows where the body ends, a read returns io.EOF once the whole request was sent, and io.ErrUnexpectedEOF if that failed. This has to be in the connection: net/http closes it at the end of a body, after which it cannot be told whether the request would have gone out. What is whole follows from Request.Write, which the transport sends the request with.

--- a/internal/backend/broken_test.go
+++ b/internal/backend/broken_test.go
@@ -29,6 +29,11 @@
 
 // readers are the ways to read an answer of a server to its end.
 var readers = map[string]func(ctx context.Context, addr string, r call.Request) (status int, body string, err error){
+	"client": func(ctx context.Context, addr string, r call.Request) (int, string, error) {
+		var c Client
+		defer c.CloseIdle()
+		return readAnswer(c.Do(ctx, addr, r))
+	},
 	"pool": func(ctx context.Context, addr string, r call.Request) (int, string, error) {
 		p := Pool{HeaderNames: testHeaderNames}
 		defer p.Close()
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -19,7 +19,6 @@
 	"time"
 
 	"github.com/vanillasail/vanillasail/internal/call"
-	"github.com/vanillasail/vanillasail/internal/tcp"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
@@ -57,7 +56,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &tcp.Conn{Conn: conn, Timeout: c.partTimeout}, nil
+			return newClientConn(conn, c.partTimeout), nil
 		},
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: maxIdle,
@@ -86,8 +85,17 @@
 	if err != nil {
 		return nil, classify(ctx, err, used.conn.Load() != nil)
 	}
-	response.Body = &pacedBody{ReadCloser: response.Body, conn: used.conn.Load()}
-	used.conn.Load().Next()
+	conn := used.conn.Load()
+	if endsWithConn(response) {
+		size, err := requestSize(request, r.Body)
+		if err != nil {
+			_ = response.Body.Close()
+			return nil, classify(ctx, err, true)
+		}
+		conn.expectEnd(size)
+	}
+	response.Body = &pacedBody{ReadCloser: response.Body, conn: &conn.Conn}
+	conn.Next()
 	// A server may return the ID of an inner request, but not that of another request
 	// which was sent to it: that is a second copy of an earlier answer.
 	if id := response.Header.Get(call.HeaderID); id != "" && id != r.ID && c.sent.contains(id) {
--- /dev/null
+++ b/internal/backend/client_conn.go
@@ -0,0 +1,112 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/vanillasail/vanillasail/internal/tcp"
+)
+
+// clientConn is a connection of a Client. It counts what is sent, because net/http takes
+// the end of the connection for the end of a body while it is still sending the request.
+type clientConn struct {
+	tcp.Conn
+
+	mu      sync.Mutex
+	changed sync.Cond
+	// sent is the number of bytes that were written, and begun that before the current
+	// request.
+	sent, begun int64
+	// size is the size of the current request if the body of its answer ends with the
+	// connection, and zero otherwise.
+	size int64
+	// failed is set when a write has failed or the connection was closed.
+	failed bool
+}
+
+func newClientConn(conn net.Conn, partTimeout time.Duration) *clientConn {
+	c := &clientConn{Conn: tcp.Conn{Conn: conn, Timeout: partTimeout}}
+	c.changed.L = &c.mu
+	return c
+}
+
+// begin begins a request.
+func (c *clientConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun, c.size = c.sent, 0
+}
+
+// expectEnd makes the end of the connection count as that of the body only after the whole
+// request, which has the given size.
+func (c *clientConn) expectEnd(size int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.size = size
+}
+
+// awaitSent waits until the request is sent if the body of its answer ends with the
+// connection. It returns false if that fails.
+func (c *clientConn) awaitSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.sent < c.begun+c.size && !c.failed {
+		c.changed.Wait()
+	}
+	return c.sent >= c.begun+c.size
+}
+
+// Read implements io.Reader.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF && !c.awaitSent() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.record(n, err != nil)
+	return n, err
+}
+
+// Close implements io.Closer.
+func (c *clientConn) Close() error {
+	c.record(0, true)
+	return c.Conn.Close()
+}
+
+func (c *clientConn) record(sent int, failed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent += int64(sent)
+	c.failed = c.failed || failed
+	c.changed.Broadcast()
+}
+
+// requestSize returns the number of bytes that net/http sends for a request.
+func requestSize(request *http.Request, body []byte) (int64, error) {
+	request = request.WithContext(context.Background()) // without the trace
+	if request.Body != nil {
+		request.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	var size byteCounter
+	err := request.Write(&size)
+	return int64(size), err
+}
+
+// byteCounter counts the bytes that are written to it.
+type byteCounter int64
+
+// Write implements io.Writer.
+func (c *byteCounter) Write(p []byte) (int, error) {
+	*c += byteCounter(len(p))
+	return len(p), nil
+}
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -14,7 +14,6 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/vanillasail/vanillasail/internal/standin/endless"
-	"github.com/vanillasail/vanillasail/internal/tcp"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
@@ -221,7 +220,7 @@
 		stream = &endlessConn{first: first, text: text}
 		var client Client
 		client.roundTripper().DialContext = func(context.Context, string, string) (net.Conn, error) {
-			return &tcp.Conn{Conn: stream}, nil
+			return newClientConn(stream, 0), nil
 		}
 		defer client.CloseIdle()
 		if answer, err := client.Do(t.Context(), "127.0.0.1:1", request(http.MethodGet)); err == nil {
--- a/internal/backend/paced.go
+++ b/internal/backend/paced.go
@@ -12,14 +12,15 @@
 // usedConn is the connection that net/http uses for a request.
 type usedConn struct {
 	// conn is nil until there is a connection.
-	conn atomic.Pointer[tcp.Conn]
+	conn atomic.Pointer[clientConn]
 	// received is the number of bytes that conn had read before the request.
 	received atomic.Int64
 }
 
 // set is an httptrace.ClientTrace.GotConn.
 func (u *usedConn) set(info httptrace.GotConnInfo) {
-	if conn, ok := info.Conn.(*tcp.Conn); ok {
+	if conn, ok := info.Conn.(*clientConn); ok {
+		conn.begin()
 		u.received.Store(conn.Received())
 		u.conn.Store(conn)
 	}
--- a/internal/backend/unframed_test.go
+++ b/internal/backend/unframed_test.go
@@ -35,10 +35,22 @@
 	read   int
 	closed chan struct{}
 	once   sync.Once
+	// asked is closed when the first write has begun, and the answer arrives.
+	asked   chan struct{}
+	askOnce sync.Once
+}
+
+func newScriptedConn(answer string) *scriptedConn {
+	return &scriptedConn{answer: answer, closed: make(chan struct{}), asked: make(chan struct{})}
 }
 
 // Read implements io.Reader.
 func (c *scriptedConn) Read(p []byte) (int, error) {
+	select {
+	case <-c.asked:
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
 	c.mu.Lock()
 	n := copy(p, c.answer[c.read:])
 	c.read += n
@@ -51,6 +63,7 @@
 
 // Write implements io.Writer.
 func (c *scriptedConn) Write(p []byte) (int, error) {
+	c.askOnce.Do(func() { close(c.asked) })
 	if err := c.after(c.writeEnd, c.writeErr); err != nil {
 		return 0, err
 	}
@@ -100,7 +113,8 @@
 		for reader, read := range scriptedReaders {
 			t.Run(name+"/"+reader, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					conn := &scriptedConn{answer: answer, readEnd: c.readEnd, writeEnd: c.writeEnd, writeErr: c.writeErr, closed: make(chan struct{})}
+					conn := newScriptedConn(answer)
+					conn.readEnd, conn.writeEnd, conn.writeErr = c.readEnd, c.writeEnd, c.writeErr
 					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 					defer cancel()
 					body, err := read(ctx, conn)
@@ -122,6 +136,15 @@
 
 // scriptedReaders are the ways to read the answer to an upload on a connection.
 var scriptedReaders = map[string]func(ctx context.Context, conn *scriptedConn) (body string, err error){
+	"client": func(ctx context.Context, conn *scriptedConn) (string, error) {
+		var c Client
+		c.roundTripper().DialContext = func(context.Context, string, string) (net.Conn, error) {
+			return newClientConn(conn, 0), nil
+		}
+		defer c.CloseIdle()
+		_, body, err := readAnswer(c.Do(ctx, conn.RemoteAddr().String(), upload("1", 2*maxSyncWrite)))
+		return body, err
+	},
 	"pool": func(ctx context.Context, conn *scriptedConn) (string, error) {
 		idle := newServerConn(conn, 0)
 		idle.expires = time.Now().Add(time.Minute)
