internal/backend: Client delivers answers that come before the request was read

What callers saw: in nodes of package daemon, 502 "closed the connection without an answer" for an upload that the server had answered at once and completely, such as a 413 with its length, when it then closed the connection without reading the rest.

Cause: the write of the rest fails, and net/http then discards the answer, whether it has arrived or not. Which comes first is up to the scheduler. Found by the tests that check that valid answers still arrive; Pool reads the answer regardless and had no such fault.

Change: once a part of a request was sent, a failed write is reported when the connection is closed, which net/http does after the answer or when there is none. It does not use such a connection again, as the write has not ended by then. A write that fails before anything was sent fails at once as before, since it can be repeated.

--- a/internal/backend/client_conn.go
+++ b/internal/backend/client_conn.go
@@ -26,7 +26,7 @@
 	// connection, and zero otherwise.
 	size int64
 	// failed is set when a write has failed or the connection was closed.
-	failed bool
+	failed, closed bool
 }
 
 func newClientConn(conn net.Conn, partTimeout time.Duration) *clientConn {
@@ -70,25 +70,29 @@
 	return n, err
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. net/http discards the answer when a write fails, but the
+// server may have answered before it has read the whole request. So if a part of the request
+// was sent, the failure is reported after the answer, when the connection is closed.
 func (c *clientConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.record(n, err != nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent += int64(n)
+	c.failed = c.failed || err != nil
+	c.changed.Broadcast()
+	for err != nil && c.sent > c.begun && !c.closed {
+		c.changed.Wait()
+	}
 	return n, err
 }
 
 // Close implements io.Closer.
 func (c *clientConn) Close() error {
-	c.record(0, true)
-	return c.Conn.Close()
-}
-
-func (c *clientConn) record(sent int, failed bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sent += int64(sent)
-	c.failed = c.failed || failed
+	c.failed, c.closed = true, true
 	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // requestSize returns the number of bytes that net/http sends for a request.
--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -83,3 +83,37 @@
 		})
 	}
 }
+
+// Guards against checks of answers that keep valid ones from callers.
+func TestUnusualAnswersReachCallers(t *testing.T) {
+	const (
+		body   = "the whole body"
+		length = "Content-Length: 14\r\n\r\n" + body
+	)
+	for name, c := range map[string]struct {
+		server *broken.Server
+		size   int
+		status int
+	}{
+		"early 413, then close": {&broken.Server{Answer: strings.Replace(brokenHead, "200", "413", 1) + length, Early: true, End: broken.Close}, brokenUpload, 413},
+		"early 413, then reset": {&broken.Server{Answer: strings.Replace(brokenHead, "200", "413", 1) + length, Early: true, End: broken.Reset}, brokenUpload, 413},
+		"ended by a close":      {&broken.Server{Answer: brokenHead + "\r\n" + body, End: broken.Close}, brokenUpload, 200},
+		"ended by a half-close": {&broken.Server{Answer: brokenHead + "\r\n" + body, Early: true, End: broken.HalfClose}, brokenUpload, 200},
+		"unknown status":        {&broken.Server{Answer: strings.Replace(brokenHead, "200", "299", 1) + length}, 10, 299},
+		"after interim answers": {&broken.Server{Answer: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + brokenHead + length}, 10, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := c.server
+			cluster := startBrokenCluster(t, s)
+			for i := range 10 {
+				id := fmt.Sprintf("up-%d", i)
+				response, text, err := cluster.call(t.Context(), i%2, http.MethodPost, "/stock/order", http.Header{"Request-Id": {id}}, strings.NewReader(strings.Repeat("u", c.size)))
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, c.status, "%s: %.200q", id, text)
+				assert.Equal(t, text, body)
+				assert.Equal(t, s.Requests(id), 1)
+			}
+		})
+	}
+}
