internal/backend: statuses below 200 are no final answer

What callers saw: with package daemon the answer of a server whose status was 000, any other below 100 or 101, as it was sent. On the platform such an answer itself was not passed on, but its head was skipped: what followed on the connection, such as the body of the 000, was read as the next answer and reached the caller if it looked like one.

Cause: net/http takes any three digits for a status and 101 for a final answer, and Client passed both on. Pool skipped everything below 200 as if it were interim; only 100 to 199 without 101 have no body and are followed by the final answer.

Change: call.CheckStatus and call.IsInterim say which statuses end the wait for an answer and which do not. Both readers, and so probes, report any other as an answer that is none, and close the connection. The outcome is unknown, since the request may have run.

Status 000 and 099 alone were handled already on the platform; these cases are kept. 299, 599, interim answers and 413 still arrive (TestValidAnswersArrive, TestUnusualAnswersReachCallers).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -85,6 +85,10 @@
 	if err != nil {
 		return nil, classify(ctx, err, used.conn.Load() != nil)
 	}
+	if err := call.CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, classify(ctx, err, true)
+	}
 	conn := used.conn.Load()
 	if endsWithConn(response) {
 		size, err := requestSize(request, r.Body)
--- /dev/null
+++ b/internal/backend/heads_test.go
@@ -0,0 +1,47 @@
+package backend
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillasail/vanillasail/internal/standin/broken"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+)
+
+// Guards against heads that are no answer in HTTP/1.1 and reach the caller as one, as a
+// whole or with a body that is not the server's.
+func TestBrokenHeadsAreNoAnswer(t *testing.T) {
+	const (
+		length = "Content-Length: 4\r\n\r\nbody"
+		valid  = sealed + length
+	)
+	status := func(code string) string {
+		return strings.Replace(valid, "200", code, 1)
+	}
+	for name, answer := range map[string]string{
+		"status 000":               status("000"),
+		"status 001":               status("001"),
+		"status 099":               status("099"),
+		"status with a sign":       status("+20"),
+		"status of two digits":     status("20"),
+		"status of four digits":    status("2000"),
+		"switch of protocols":      status("101"),
+		"answer behind status 000": strings.Replace(sealed, "200", "000", 1) + "Content-Length: 0\r\n\r\n" + valid,
+		"answer in body of 000":    "HTTP/1.1 000 No\r\nContent-Length: 1000\r\n\r\n" + valid,
+		"answer behind a switch":   "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + valid,
+	} {
+		for reader, read := range readers {
+			t.Run(name+"/"+reader, func(t *testing.T) {
+				t.Parallel()
+				s := startBroken(t, &broken.Server{Answer: answer, End: broken.Close})
+				code, body, err := read(t.Context(), s.Addr(), upload("1", 10))
+				assert.Assert(t, err != nil, "taken for an answer: status %d, body %q", code, body)
+				assert.Assert(t, fault.Is(err, fault.KindCutShort) || fault.Is(err, fault.KindServerLost), "%v", err)
+				assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
+				assert.Equal(t, s.Requests("1"), 1)
+			})
+		}
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -160,7 +160,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if call.IsInterim(response.StatusCode) {
 			continue
 		}
 		if p.HeaderNames.ID == "" || response.Header.Get(p.HeaderNames.ID) == r.ID {
--- a/internal/backend/server_conn.go
+++ b/internal/backend/server_conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/tcp"
 )
 
@@ -47,7 +48,7 @@
 
 var errHeaderTooLarge = errors.New("the header of the answer is over the limit")
 
-// readHead reads the head of an answer. The caller calls Next after the last byte that is
+// readHead reads the head of an answer, final or interim. The caller calls Next after the last byte that is
 // subject to the same time limit.
 func (c *serverConn) readHead(request *http.Request) (*http.Response, error) {
 	c.Next()
@@ -57,6 +58,9 @@
 	c.headerLeft = maxHeader
 	response, err := http.ReadResponse(c.reader, request)
 	c.headerLeft = -1
+	if err == nil && !call.IsInterim(response.StatusCode) {
+		err = call.CheckStatus(response.StatusCode)
+	}
 	return response, err
 }
 
