Links between nodes: a reply without the status of an answer is none

What callers would see: status 0 as an answer, if another node sent a reply with neither a fault nor a final status. It takes a faulty node, so no caller was seen to get one.

Cause: both links took the status of a reply as it was.

Change: they check it as the readers of servers' answers do.

Result: TestReplyWithoutAStatusIsNoAnswer failed before in four of five cases, TestCall in "no status".

--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -239,6 +239,10 @@
 		result.slot = &reservedSlot{node: to, ticket: reply.Ticket, answer: answer}
 		return result
 	}
+	if err := call.CheckStatus(reply.Status); err != nil {
+		_ = answer.Body.Close()
+		return sendResult{err: fault.New(fault.KindCutShort, "reply of node %s: %v", to.Node, err), ran: true}
+	}
 	d.sizes.observe(m.Call.Route, reply.Length)
 	result.answer = &call.Answer{Status: reply.Status, Header: reply.Header, Length: reply.Length, Body: answer.Body, Outcome: fault.Ran, Server: to.Node}
 	return result
--- a/internal/mesh/message_test.go
+++ b/internal/mesh/message_test.go
@@ -1,14 +1,19 @@
 package mesh
 
 import (
+	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/fault"
+	"github.com/vanillasail/vanillasail/pkg/roster"
 )
 
 // Guards against deadlines and objectives that depend on the clock of the sending
@@ -31,6 +36,34 @@
 	}
 }
 
+// Guards against a reply of another node that is no answer in HTTP and reaches the caller as
+// one, or makes an order that may have run look like one that has not.
+func TestReplyWithoutAStatusIsNoAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply response
+		ok    bool
+	}{
+		"answer":     {response{Status: http.StatusOK, Ran: true}, true},
+		"no status":  {response{Ran: true}, false},
+		"status 099": {response{Status: 99, Ran: true}, false},
+		"interim":    {response{Status: http.StatusEarlyHints, Ran: true}, false},
+		"switch":     {response{Status: http.StatusSwitchingProtocols}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			head, err := encode(c.reply)
+			assert.NilError(t, err)
+			answer := &peer.Answer{Head: head, Body: io.NopCloser(strings.NewReader("body"))}
+			result := newDispatch(t).decode(t.Context(), roster.Entry{Node: "n1"}, message{Call: &call.Request{Route: "r"}}, answer, nil)
+			assert.Equal(t, result.answer != nil, c.ok)
+			if !c.ok {
+				assert.Equal(t, result.err.Kind, fault.KindCutShort)
+				assert.Equal(t, result.err.Outcome, fault.Unknown)
+				assert.Assert(t, result.ran)
+			}
+		})
+	}
+}
+
 // FuzzDecodeMessage checks that no message of a peer makes a node panic.
 func FuzzDecodeMessage(f *testing.F) {
 	r := withRemainingTimes(call.Request{ID: "a", Header: http.Header{"A": {"b"}}, Deadline: time.Now()}, time.Now())
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -64,6 +64,9 @@
 	if answer.Fault != nil {
 		return nil, answer.Fault
 	}
+	if err := call.CheckStatus(answer.Status); err != nil {
+		return nil, fault.New(fault.KindCutShort, "answer of another node: %v", err)
+	}
 	return &call.Answer{
 		Status:    answer.Status,
 		Header:    answer.Header,
--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -63,6 +63,11 @@
 	return &call.Answer{Status: 200, Length: int64(len(r.Body)), Body: io.NopCloser(bytes.NewReader(r.Body))}, nil
 }
 
+// noStatus returns an answer that is none in HTTP.
+func noStatus(context.Context, call.Request) (*call.Answer, error) {
+	return &call.Answer{Body: io.NopCloser(bytes.NewReader(nil))}, nil
+}
+
 func peerOf(t *Transport) Peer { return Peer{ID: t.ID, Addr: t.Addr()} }
 
 // Guards against corrupted or truncated answers between nodes that are reported as
@@ -82,6 +87,7 @@
 		"cut short":    {serve: cutShort, kind: fault.KindCutShort, outcome: fault.Unknown},
 		"too short":    {serve: tooShort, kind: fault.KindCutShort, outcome: fault.Unknown},
 		"body limit":   {body: bytes.Repeat(big, 2), serve: echo, kind: fault.KindTooLarge, outcome: fault.Refused},
+		"no status":    {serve: noStatus, kind: fault.KindCutShort, outcome: fault.Unknown},
 		"head limit":   {serve: hugeHeader, kind: fault.KindUnreachable, outcome: fault.Unknown},
 		"panic":        {serve: func(context.Context, call.Request) (*call.Answer, error) { panic("broken") }, kind: fault.KindUnreachable, outcome: fault.Unknown},
 		"server error": {serve: func(context.Context, call.Request) (*call.Answer, error) { return nil, io.ErrUnexpectedEOF }, kind: fault.KindInternal, outcome: fault.Unknown},
