internal/backend: heads with a blank in a name are no answer

What callers saw: an answer in whose head a name held a blank reached them as a success. With "Content-Length : 4" they got all bytes up to the end of the connection, with "Transfer-Encoding : chunked" the chunks with their sizes: a body that is not the server's.

Cause: net/http accepts such names, under which neither it nor the node finds the length or the encoding, so the body seems to have none.

Change: call.CheckNames rejects names that are none in HTTP, in the heads of final, interim and skipped answers and of answers to probes. The caller gets 502 with the outcome unknown.

Control bytes and a tab in a name, an empty name and a line without a colon were rejected by net/http already; these cases are kept.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -85,7 +86,7 @@
 	if err != nil {
 		return nil, classify(ctx, err, used.conn.Load() != nil)
 	}
-	if err := call.CheckStatus(response.StatusCode); err != nil {
+	if err := cmp.Or(call.CheckStatus(response.StatusCode), call.CheckNames(response.Header)); err != nil {
 		_ = response.Body.Close()
 		return nil, classify(ctx, err, true)
 	}
--- a/internal/backend/heads_test.go
+++ b/internal/backend/heads_test.go
@@ -21,16 +21,27 @@
 		return strings.Replace(valid, "200", code, 1)
 	}
 	for name, answer := range map[string]string{
-		"status 000":               status("000"),
-		"status 001":               status("001"),
-		"status 099":               status("099"),
-		"status with a sign":       status("+20"),
-		"status of two digits":     status("20"),
-		"status of four digits":    status("2000"),
-		"switch of protocols":      status("101"),
-		"answer behind status 000": strings.Replace(sealed, "200", "000", 1) + "Content-Length: 0\r\n\r\n" + valid,
-		"answer in body of 000":    "HTTP/1.1 000 No\r\nContent-Length: 1000\r\n\r\n" + valid,
-		"answer behind a switch":   "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + valid,
+		"status 000":                 status("000"),
+		"status 001":                 status("001"),
+		"status 099":                 status("099"),
+		"status with a sign":         status("+20"),
+		"status of two digits":       status("20"),
+		"status of four digits":      status("2000"),
+		"switch of protocols":        status("101"),
+		"answer behind status 000":   strings.Replace(sealed, "200", "000", 1) + "Content-Length: 0\r\n\r\n" + valid,
+		"answer in body of 000":      "HTTP/1.1 000 No\r\nContent-Length: 1000\r\n\r\n" + valid,
+		"answer behind a switch":     "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + valid,
+		"blank before the colon":     sealed + "Content-Length : 4\r\n\r\nbody and more",
+		"blank in encoding":          sealed + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"blank in a name":            sealed + "Bad Name: x\r\n" + length,
+		"tab before the colon":       sealed + "Bad\t: x\r\n" + length,
+		"zero byte in a name":        sealed + "Ba\x00d: x\r\n" + length,
+		"bell in a name":             sealed + "Ba\x07d: x\r\n" + length,
+		"delete in a name":           sealed + "Ba\x7fd: x\r\n" + length,
+		"carriage return in a name":  sealed + "Ba\rd: x\r\n" + length,
+		"no name":                    sealed + ": x\r\n" + length,
+		"no colon":                   sealed + "Bad\r\n" + length,
+		"blank in an interim answer": "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n" + valid,
 	} {
 		for reader, read := range readers {
 			t.Run(name+"/"+reader, func(t *testing.T) {
--- a/internal/backend/paced.go
+++ b/internal/backend/paced.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"sync/atomic"
 
+	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/tcp"
 )
 
@@ -28,7 +30,10 @@
 
 // interim is an httptrace.ClientTrace.Got1xxResponse. With one, net/http does not limit
 // the interim answers.
-func (u *usedConn) interim(int, textproto.MIMEHeader) error {
+func (u *usedConn) interim(_ int, header textproto.MIMEHeader) error {
+	if err := call.CheckNames(http.Header(header)); err != nil {
+		return err
+	}
 	conn := u.conn.Load()
 	conn.Next() // the server may work for long before the next answer
 	if conn.Received()-u.received.Load() > maxHeader {
--- a/internal/backend/server_conn.go
+++ b/internal/backend/server_conn.go
@@ -61,6 +61,9 @@
 	if err == nil && !call.IsInterim(response.StatusCode) {
 		err = call.CheckStatus(response.StatusCode)
 	}
+	if err == nil {
+		err = call.CheckNames(response.Header)
+	}
 	return response, err
 }
 
--- a/internal/call/head.go
+++ b/internal/call/head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // CheckStatus returns an error if no final answer can have the status. Statuses below 100 are
@@ -20,3 +21,15 @@
 func IsInterim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
+
+// CheckNames returns an error if a header or trailer has a name that is none in HTTP.
+// net/http accepts names with spaces. It does not apply the line, so that a length with a
+// space before the colon does not limit the body.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return eris.Errorf("header name %.80q has characters that names cannot have", name)
+		}
+	}
+	return nil
+}
--- a/internal/call/head_test.go
+++ b/internal/call/head_test.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,3 +33,26 @@
 		})
 	}
 }
+
+// Guards against names that net/http accepts although they are none, and against a check that
+// rejects unusual ones.
+func TestNames(t *testing.T) {
+	for name, c := range map[string]struct {
+		header string
+		ok     bool
+	}{
+		"usual":                  {"Content-Length", true},
+		"all kinds of letters":   {"!#$%&'*+-.^_`|~09aZ", true},
+		"space before the colon": {"Content-Length ", false},
+		"space before the name":  {" Content-Length", false},
+		"space inside":           {"Content Length", false},
+		"tab":                    {"Content-Length\t", false},
+		"control byte":           {"Content\x07Length", false},
+		"empty":                  {"", false},
+		"not ASCII":              {"Größe", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, CheckNames(http.Header{"A": {"b"}, c.header: {"1"}}) == nil, c.ok)
+		})
+	}
+}
