internal/backend: heads with a line that begins with a blank are no answer

What callers saw: for a head in which the name of a field had a blank before it, such as " Content-Length: 4", a success with all bytes up to the end of the connection as its body, and the line passed on as a part of the value above it.

Cause: net/http joins such a line with the one before (the folding that HTTP no longer has), after which the header does not show it any more.

Change: both connections scan the bytes of each head for such lines as they arrive; it is 502 with the outcome unknown, as RFC 9112, 5.2 allows a gateway to answer. The scan ends at the empty line, so that bodies may hold what they like. A connection whose head was none is closed also where net/http would keep it.

The body of TestValidAnswersArrive now has a line that begins with blanks.

--- a/internal/backend/broken_test.go
+++ b/internal/backend/broken_test.go
@@ -81,7 +81,9 @@
 				s := startBroken(t, &broken.Server{Answer: sealed + "\r\n" + strings.Repeat("x", size), Early: true, End: broken.Reset})
 				for i := range uploadRuns {
 					id := fmt.Sprint(i)
-					_, body, err := read(t.Context(), s.Addr(), upload(id, uploadSize))
+					ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+					defer cancel()
+					_, body, err := read(ctx, s.Addr(), upload(id, uploadSize))
 					assert.Assert(t, err != nil, "run %d: %d bytes were taken for the whole answer", i, len(body))
 					assert.Assert(t, fault.Is(err, fault.KindCutShort) || fault.Is(err, fault.KindServerLost), "%v", err)
 					assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -86,11 +86,12 @@
 	if err != nil {
 		return nil, classify(ctx, err, used.conn.Load() != nil)
 	}
-	if err := cmp.Or(call.CheckStatus(response.StatusCode), call.CheckNames(response.Header)); err != nil {
+	conn := used.conn.Load()
+	if err := cmp.Or(call.CheckStatus(response.StatusCode), call.CheckNames(response.Header), conn.headErr()); err != nil {
 		_ = response.Body.Close()
+		_ = conn.Close() // net/http keeps it after an answer without a body
 		return nil, classify(ctx, err, true)
 	}
-	conn := used.conn.Load()
 	if endsWithConn(response) {
 		size, err := requestSize(request, r.Body)
 		if err != nil {
--- a/internal/backend/client_conn.go
+++ b/internal/backend/client_conn.go
@@ -27,6 +27,8 @@
 	size int64
 	// failed is set when a write has failed or the connection was closed.
 	failed, closed bool
+	// head scans the head of the current answer, final or interim.
+	head headScanner
 }
 
 func newClientConn(conn net.Conn, partTimeout time.Duration) *clientConn {
@@ -40,6 +42,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun, c.size = c.sent, 0
+	c.head.begin(nil)
+}
+
+// headErr returns an error if the head that has arrived is none.
+func (c *clientConn) headErr() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.err()
+}
+
+// nextHead begins with the head behind an interim one.
+func (c *clientConn) nextHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.begin(c.head.rest)
 }
 
 // expectEnd makes the end of the connection count as that of the body only after the whole
@@ -64,6 +81,9 @@
 // Read implements io.Reader.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.head.scan(p[:n])
+	c.mu.Unlock()
 	if err == io.EOF && !c.awaitSent() {
 		err = io.ErrUnexpectedEOF
 	}
--- /dev/null
+++ b/internal/backend/head_scanner_test.go
@@ -0,0 +1,43 @@
+package backend
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against lines that are overlooked because they arrive in parts, and against bytes
+// of a body that are taken for lines of the head.
+func TestHeadScanner(t *testing.T) {
+	for name, c := range map[string]struct {
+		text   string
+		folded bool
+		rest   string
+	}{
+		"plain":                {"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", false, "body"},
+		"line feeds":           {"HTTP/1.1 200 OK\nA: b\n\n body", false, " body"},
+		"blank at the start":   {"HTTP/1.1 200 OK\r\n A: b\r\n\r\n", true, ""},
+		"tab":                  {"HTTP/1.1 200 OK\r\nA: b\r\n\tc\r\n\r\nx", true, "x"},
+		"after a line feed":    {"HTTP/1.1 200 OK\nA: b\n c\n\n", true, ""},
+		"line of blanks":       {"HTTP/1.1 200 OK\r\nA: b\r\n \r\n\r\n", true, ""},
+		"blank in a body":      {"HTTP/1.1 200 OK\r\nA: b\r\n\r\n\r\n a", false, "\r\n a"},
+		"blank before status":  {" HTTP/1.1 200 OK\r\n\r\n", false, ""},
+		"carriage returns":     {"HTTP/1.1 200 OK\r\n\r\r\n\r\n", false, ""},
+		"head without an end":  {"HTTP/1.1 200 OK\r\nA: b\r\n", false, ""},
+		"unfinished last line": {"HTTP/1.1 200 OK\r\nA: b\r\n ", true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var whole headScanner
+			whole.begin([]byte(c.text))
+			assert.Equal(t, whole.err() != nil, c.folded)
+			assert.Equal(t, string(whole.rest), c.rest)
+			for i := range c.text {
+				var parts headScanner
+				parts.begin([]byte(c.text[:i]))
+				parts.scan([]byte(c.text[i:]))
+				assert.Equal(t, parts.err() != nil, c.folded, "divided at %d", i)
+				assert.Equal(t, parts.ended, whole.ended)
+			}
+		})
+	}
+}
--- a/internal/backend/heads_test.go
+++ b/internal/backend/heads_test.go
@@ -1,8 +1,10 @@
 package backend
 
 import (
+	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -42,12 +44,20 @@
 		"no name":                    sealed + ": x\r\n" + length,
 		"no colon":                   sealed + "Bad\r\n" + length,
 		"blank in an interim answer": "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n" + valid,
+		"blank before a name":        sealed + " Bad: x\r\n" + length,
+		"blank before the length":    sealed + " Content-Length: 4\r\n\r\nbody and more",
+		"tab before a name":          sealed + "\tBad: x\r\n" + length,
+		"blank line with a blank":    sealed + " \r\n" + length,
+		"fold in an interim answer":  "HTTP/1.1 103 Early Hints\r\nLink: a\r\n b\r\n\r\n" + valid,
+		"blank behind an interim":    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sealed + " Bad: x\r\n" + length,
 	} {
 		for reader, read := range readers {
 			t.Run(name+"/"+reader, func(t *testing.T) {
 				t.Parallel()
 				s := startBroken(t, &broken.Server{Answer: answer, End: broken.Close})
-				code, body, err := read(t.Context(), s.Addr(), upload("1", 10))
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				code, body, err := read(ctx, s.Addr(), upload("1", 10))
 				assert.Assert(t, err != nil, "taken for an answer: status %d, body %q", code, body)
 				assert.Assert(t, fault.Is(err, fault.KindCutShort) || fault.Is(err, fault.KindServerLost), "%v", err)
 				assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
--- a/internal/backend/paced.go
+++ b/internal/backend/paced.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -31,10 +32,11 @@
 // interim is an httptrace.ClientTrace.Got1xxResponse. With one, net/http does not limit
 // the interim answers.
 func (u *usedConn) interim(_ int, header textproto.MIMEHeader) error {
-	if err := call.CheckNames(http.Header(header)); err != nil {
+	conn := u.conn.Load()
+	if err := cmp.Or(call.CheckNames(http.Header(header)), conn.headErr()); err != nil {
 		return err
 	}
-	conn := u.conn.Load()
+	conn.nextHead()
 	conn.Next() // the server may work for long before the next answer
 	if conn.Received()-u.received.Load() > maxHeader {
 		return errHeaderTooLarge
--- a/internal/backend/server_conn.go
+++ b/internal/backend/server_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 	// headerLeft is the number of bytes that may still be read for a header. A
 	// negative value means no limit.
 	headerLeft int
+	head       headScanner
 	// expires is the time after which the connection must not be reused.
 	expires   time.Time
 	idleSince time.Time
@@ -43,18 +45,24 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headerLeft)])
 	c.headerLeft -= n
+	c.head.scan(p[:n])
 	return n, err
 }
 
 var errHeaderTooLarge = errors.New("the header of the answer is over the limit")
 
-// readHead reads the head of an answer, final or interim. The caller calls Next after the last byte that is
-// subject to the same time limit.
+// readHead reads the head of an answer, final or interim. The caller calls Next after the
+// last byte that is subject to the same time limit.
 func (c *serverConn) readHead(request *http.Request) (*http.Response, error) {
 	c.Next()
 	if c.reader.Buffered() > 0 {
 		c.Begin()
 	}
+	arrived, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.head.begin(arrived)
 	c.headerLeft = maxHeader
 	response, err := http.ReadResponse(c.reader, request)
 	c.headerLeft = -1
@@ -62,7 +70,7 @@
 		err = call.CheckStatus(response.StatusCode)
 	}
 	if err == nil {
-		err = call.CheckNames(response.Header)
+		err = cmp.Or(call.CheckNames(response.Header), c.head.err())
 	}
 	return response, err
 }
--- a/internal/backend/valid_test.go
+++ b/internal/backend/valid_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -14,7 +16,7 @@
 
 // Guards against checks of answers that reject valid ones.
 func TestValidAnswersArrive(t *testing.T) {
-	const body = "the whole body"
+	const body = "a whole\n  body" // a line of the head could not begin so
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	for name, c := range map[string]struct {
 		answer string
@@ -40,7 +42,6 @@
 		"trailer":             {answer: sealed + "Transfer-Encoding: chunked\r\n\r\ne\r\n" + body + "\r\n0\r\nChecksum: x\r\n\r\n"},
 		"line feeds only":     {answer: strings.ReplaceAll(sealed+length, "\r\n", "\n")},
 		"blanks in a value":   {answer: sealed + "X:  a  b \r\n" + length},
-		"body like a fold":    {answer: sealed + "Content-Length: 14\r\n\r\nthe whole body"},
 		"no reason":           {answer: strings.Replace(sealed, "200 OK", "200", 1) + length},
 		"empty value":         {answer: sealed + "X:\r\n" + length},
 		"names of all tokens": {answer: sealed + "!#$%&'*+-.^_`|~09aZ: x\r\n" + length},
@@ -50,7 +51,9 @@
 				t.Parallel()
 				s := startBroken(t, &broken.Server{Answer: c.answer, Early: c.early, End: c.end})
 				for i := range uploadRuns {
-					status, got, err := read(t.Context(), s.Addr(), upload(fmt.Sprint(i), max(c.size, 10)))
+					ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+					defer cancel()
+					status, got, err := read(ctx, s.Addr(), upload(fmt.Sprint(i), max(c.size, 10)))
 					assert.NilError(t, err, "run %d", i)
 					assert.Equal(t, status, cmp.Or(c.status, http.StatusOK))
 					assert.Equal(t, got, body)
--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -68,6 +68,7 @@
 		"blank in a name":  {&broken.Server{Answer: brokenHead + "Bad Name: x\r\n" + length, End: broken.Close}, 10},
 		"blank behind":     {&broken.Server{Answer: brokenHead + "Content-Length : 4\r\n\r\nbody and more", End: broken.Close}, 10},
 		"zero byte":        {&broken.Server{Answer: brokenHead + "Ba\x00d: x\r\n" + length, End: broken.Close}, 10},
+		"blank before":     {&broken.Server{Answer: brokenHead + " Content-Length: 4\r\n\r\nbody and more", End: broken.Close}, 10},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
