internal/backend: trailers with a blank in a name make an answer broken

What callers saw: an answer in chunks whose trailer had a name with a blank, as a whole one. Nodes pass no trailers on, so the body was the server's.

Cause: net/http rejects control bytes in the names of a trailer, but not blanks.

Change: the end of a body counts only with valid names in the trailer, as for a head.

Result: "blank in a trailer" of TestBrokenHeadsAreNoAnswer failed before at both readers; "zero byte in a trailer" was handled already and is kept. Trailers with valid names still arrive.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -100,7 +100,7 @@
 		}
 		conn.expectEnd(size)
 	}
-	response.Body = &pacedBody{ReadCloser: response.Body, conn: &conn.Conn}
+	response.Body = &trailedBody{&pacedBody{ReadCloser: response.Body, conn: &conn.Conn}, response}
 	conn.Next()
 	// A server may return the ID of an inner request, but not that of another request
 	// which was sent to it: that is a second copy of an earlier answer.
--- a/internal/backend/heads_test.go
+++ b/internal/backend/heads_test.go
@@ -50,6 +50,8 @@
 		"blank line with a blank":    sealed + " \r\n" + length,
 		"fold in an interim answer":  "HTTP/1.1 103 Early Hints\r\nLink: a\r\n b\r\n\r\n" + valid,
 		"blank behind an interim":    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sealed + " Bad: x\r\n" + length,
+		"blank in a trailer":         sealed + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nBad Name: x\r\n\r\n",
+		"zero byte in a trailer":     sealed + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nBa\x00d: x\r\n\r\n",
 	} {
 		for reader, read := range readers {
 			t.Run(name+"/"+reader, func(t *testing.T) {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -165,11 +165,10 @@
 		}
 		if p.HeaderNames.ID == "" || response.Header.Get(p.HeaderNames.ID) == r.ID {
 			c.Next()
-			paced := &pacedBody{ReadCloser: response.Body, conn: &c.Conn}
-			if endsWithConn(response) {
-				response.Body = &unframedBody{ReadCloser: paced, sent: sent}
-			} else {
-				response.Body = paced
+			unframed := endsWithConn(response)
+			response.Body = &trailedBody{&pacedBody{ReadCloser: response.Body, conn: &c.Conn}, response}
+			if unframed {
+				response.Body = &unframedBody{ReadCloser: response.Body, sent: sent}
 			}
 			return response, nil
 		}
--- a/internal/backend/unframed.go
+++ b/internal/backend/whole_body.go
@@ -1,8 +1,11 @@
 package backend
 
 import (
+	"cmp"
 	"io"
 	"net/http"
+
+	"github.com/vanillasail/vanillasail/internal/call"
 )
 
 // sending is the sending of one request, which may go on while its answer is read.
@@ -57,3 +60,18 @@
 	}
 	return n, err
 }
+
+// trailedBody is a body whose end is valid only with valid names in the trailer.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = cmp.Or(call.CheckNames(b.response.Trailer), err)
+	}
+	return n, err
+}
