internal/backend: probes wait for the final answer and take it whole

What callers would see: a server whose answer to a health check follows an interim one counts as unhealthy and gets no requests; one that sends interim answers only counts as answering.

Cause: Probe took the first head for the answer. It also returned the name and the load from an answer that then turned out to be cut.

Change: Probe and the requests share serverConn.readAnswer, with all checks of heads and of the end of a body. A probe that fails returns nothing but its error.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -51,7 +51,8 @@
 	maxSyncWrite = 8 << 10
 	// maxHeader is the size limit of an answer's header in bytes.
 	maxHeader = 64 << 10
-	// maxSkipped is the maximum number of answers to other requests that are skipped.
+	// maxSkipped is the maximum number of answers to other requests that are skipped, and
+	// of interim answers before each final one.
 	maxSkipped = 4
 	// maxSkippedBody is the size limit of the body of a skipped answer or of a probe's,
 	// in bytes. A server in trouble may send bytes without end.
@@ -151,25 +152,18 @@
 	return sent
 }
 
-// read returns the answer to the request. It skips informational responses and
-// late answers to earlier requests on the same connection.
+// read returns the answer to the request. It skips late answers to earlier requests on
+// the same connection.
 func (p *Pool) read(c *serverConn, r call.Request, sent *sending) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxSkipped {
-		response, err := c.readHead(request)
+		response, err := c.readAnswer(request, sent)
 		if err != nil {
 			return nil, err
 		}
-		if call.IsInterim(response.StatusCode) {
-			continue
-		}
 		if p.HeaderNames.ID == "" || response.Header.Get(p.HeaderNames.ID) == r.ID {
 			c.Next()
-			unframed := endsWithConn(response)
-			response.Body = &trailedBody{&pacedBody{ReadCloser: response.Body, conn: &c.Conn}, response}
-			if unframed {
-				response.Body = &unframedBody{ReadCloser: response.Body, sent: sent}
-			}
+			response.Body = &pacedBody{ReadCloser: response.Body, conn: &c.Conn}
 			return response, nil
 		}
 		c.mustClose = true
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 
@@ -18,20 +19,21 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	r := call.Request{Method: http.MethodGet, URI: path, Host: addr}
-	if err = p.write(c, r).wait(); err == nil {
-		var response *http.Response
-		response, err = c.readHead(&http.Request{Method: r.Method})
-		if err == nil {
-			err = discard(response.Body)
-			load, _ = p.HeaderNames.parseLoad(response.Header)
-			instance, healthy = response.Header.Get(p.HeaderNames.Instance), response.StatusCode == http.StatusOK
-			p.keepAlive(c, response)
-		}
+	sent := p.write(c, r)
+	response, err := c.readAnswer(&http.Request{Method: r.Method}, sent)
+	if err == nil {
+		err = discard(response.Body)
 	}
-	if !stop() || err != nil {
+	if !stop() {
+		err = cmp.Or(err, ctx.Err())
+	}
+	if err != nil {
 		_ = c.Close()
-		return instance, load, false, eris.Wrap(err, "probe the backend server")
+		return "", load, false, eris.Wrap(err, "probe the backend server")
 	}
+	load, _ = p.HeaderNames.parseLoad(response.Header)
+	instance, healthy = response.Header.Get(p.HeaderNames.Instance), response.StatusCode == http.StatusOK
+	p.keepAlive(c, response)
 	c.Next()
 	p.put(c)
 	return instance, load, healthy, nil
--- a/internal/backend/server_conn.go
+++ b/internal/backend/server_conn.go
@@ -49,7 +49,10 @@
 	return n, err
 }
 
-var errHeaderTooLarge = errors.New("the header of the answer is over the limit")
+var (
+	errHeaderTooLarge = errors.New("the header of the answer is over the limit")
+	errInterimOnly    = errors.New("the server sent interim answers only")
+)
 
 // readHead reads the head of an answer, final or interim. The caller calls Next after the
 // last byte that is subject to the same time limit.
@@ -75,6 +78,27 @@
 	return response, err
 }
 
+// readAnswer reads the head of the next final answer. The body of the answer ends with
+// io.EOF only if it is whole.
+func (c *serverConn) readAnswer(request *http.Request, sent *sending) (*http.Response, error) {
+	for range maxSkipped {
+		response, err := c.readHead(request)
+		if err != nil {
+			return nil, err
+		}
+		if call.IsInterim(response.StatusCode) {
+			continue
+		}
+		unframed := endsWithConn(response)
+		response.Body = &trailedBody{response.Body, response}
+		if unframed {
+			response.Body = &unframedBody{response.Body, sent}
+		}
+		return response, nil
+	}
+	return nil, errInterimOnly
+}
+
 // clean reports whether nothing has arrived on an idle connection: neither the
 // server's close nor bytes that belong to no request.
 func (c *serverConn) clean() bool {
