internal/store: replies that are none fail a read and leave a write unknown

What users would see: a row or object with bytes that are not its own, after a reply with a blank in the name of its length; and a write that may have taken effect reported as failed (kind internal), after a reply with status 000 or 101.

Cause: the client of the stores took the head of a reply from net/http as it was, and every status that it does not know for a failure.

Change: the checks of servers' answers apply, with the errors for a reply that did not come: store-down for a read, write-unknown for a write, after which the row is read back.

Control bytes, a cut body and a reset behind a body without a length were handled already; these cases are kept.

--- a/internal/store/endpoint.go
+++ b/internal/store/endpoint.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -18,6 +19,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
 
@@ -115,6 +117,9 @@
 		return Reply{}, noReplyError(r, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := cmp.Or(call.CheckStatus(resp.StatusCode), call.CheckNames(resp.Header)); err != nil {
+		return Reply{}, noReplyError(r, true, err)
+	}
 	start := time.Now()
 	body, err := io.ReadAll(io.LimitReader(limit.reader(resp.Body), maxReply+1))
 	if err == nil && len(body) > maxReply {
