internal/operator: a reply that is none is not the result of a command

What operators would see: a part of a result as the whole one, if a node's connection broke while only its end would have shown where the reply ends, or bytes behind the reply; and "check the operator address" for a broken reply, although the next node could have answered.

Cause: the client took the head of a reply from net/http as it was.

Change: the checks of servers' answers apply, and a reply has to state its length or come in chunks, as those of nodes do.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,9 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/config"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 )
@@ -120,6 +124,9 @@
 		return "", unreachableError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := checkReply(resp); err != nil {
+		return "", unreachableError(err)
+	}
 	text, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil:
@@ -131,6 +138,15 @@
 	}
 }
 
+// checkReply returns an error if the reply cannot be that of a node, which states where each
+// body ends.
+func checkReply(resp *http.Response) error {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return eris.New("the reply does not state its length")
+	}
+	return cmp.Or(call.CheckStatus(resp.StatusCode), call.CheckNames(resp.Header))
+}
+
 func unreachableError(err error) error {
 	return fault.New(fault.KindUnreachable, "node: %v", err).
 		WithRemedy("name another node; after a change, look at show versions before making it again")
