internal/http1: an answer that breaks off does not look whole over HTTP/1.0

What callers would see: a caller with HTTP/1.0 got a part of an answer whose length is not known as the whole one, when the server's answer broke off.

Cause: over HTTP/1.0 such a body ends with the connection, and the node closed the connection after a failure as it does after a whole answer. Found while looking for the same cause on the way to callers; callers with HTTP/1.1 miss the last chunk.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -179,7 +179,8 @@
 	if last {
 		response.Close = true
 	}
-	if response.ContentLength < 0 && (r == nil || r.ProtoAtLeast(1, 1)) {
+	unframed := endsWithConn(response, r)
+	if response.ContentLength < 0 && !unframed {
 		response.TransferEncoding = []string{"chunked"}
 	}
 	body := &flushingBody{ReadCloser: response.Body, writer: w}
@@ -196,9 +197,18 @@
 	if err == nil && last {
 		err = c.awaitQueue(0)
 	}
+	if err != nil && unframed {
+		c.resetOnClose() // the caller would take a close for the end of the body
+	}
 	return err
 }
 
+// endsWithConn reports whether only the end of the connection shows the caller where the
+// body ends.
+func endsWithConn(response *http.Response, r *http.Request) bool {
+	return response.ContentLength < 0 && r != nil && !r.ProtoAtLeast(1, 1)
+}
+
 // flushingBody flushes the written bytes before each further read, so that the
 // parts of a slow stream reach the caller without delay.
 type flushingBody struct {
