internal/http1: an answer without a length ends over HTTP/1.0 with keep-alive

What callers would see: a caller with HTTP/1.0 that asked to keep the connection got no end of an answer whose length is not known; it waited for its own time-out.

Cause: the end of such a body is the end of the connection, and the node kept the connection.

Change: the connection is closed behind such an answer, as its "Connection: close" says.

Result: "HTTP/1.0, kept, whole" of TestBrokenBodyDoesNotLookWhole failed before (no end within 10 s) and now passes in 5 of 5 runs with the race detector.

--- a/internal/http1/broken_body_test.go
+++ b/internal/http1/broken_body_test.go
@@ -22,14 +22,15 @@
 		length  int64
 		broken  bool
 	}{
-		"chunks":             {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", -1, false},
-		"chunks, broken":     {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", -1, true},
-		"length, broken":     {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", 100_000, true},
-		"HTTP/1.0":           {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", -1, false},
-		"HTTP/1.0, broken":   {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", -1, true},
-		"HTTP/1.0, length":   {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", 100_000, true},
-		"HTTP/1.0, kept":     {"GET / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n", -1, true},
-		"last on connection": {"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", -1, true},
+		"chunks":                {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", -1, false},
+		"chunks, broken":        {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", -1, true},
+		"length, broken":        {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", 100_000, true},
+		"HTTP/1.0":              {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", -1, false},
+		"HTTP/1.0, broken":      {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", -1, true},
+		"HTTP/1.0, length":      {"GET / HTTP/1.0\r\nHost: a\r\n\r\n", 100_000, true},
+		"HTTP/1.0, kept":        {"GET / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n", -1, true},
+		"HTTP/1.0, kept, whole": {"GET / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n", -1, false},
+		"last on connection":    {"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", -1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			part := strings.Repeat("x", 50_000)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -82,7 +82,7 @@
 	} else {
 		response = <-x.answered
 	}
-	last := c.pipeline.isLast(s.isDraining())
+	last := c.pipeline.isLast(s.isDraining() || endsWithConn(response, x.request))
 	err := c.respond(response, x.request, last)
 	if err != nil {
 		_ = c.CloseWithError(err)
