internal/backend: heads in another version of the protocol are no answer

What callers saw: an answer that began with HTTP/2.0 or HTTP/0.9 as one in HTTP/1.1.

Cause: net/http takes any version in the status line and reads the rest as HTTP/1.1.

Change: both readers accept 1.x only; their checks of a head are one function now.

HTTP/1.0 still arrives (TestValidAnswersArrive).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -87,7 +87,7 @@
 		return nil, classify(ctx, err, used.conn.Load() != nil)
 	}
 	conn := used.conn.Load()
-	if err := cmp.Or(call.CheckStatus(response.StatusCode), call.CheckNames(response.Header), conn.headErr()); err != nil {
+	if err := cmp.Or(call.CheckStatus(response.StatusCode), conn.checkHead(response)); err != nil {
 		_ = response.Body.Close()
 		_ = conn.Close() // net/http keeps it after an answer without a body
 		return nil, classify(ctx, err, true)
--- a/internal/backend/client_conn.go
+++ b/internal/backend/client_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/tcp"
 )
 
@@ -45,18 +47,21 @@
 	c.head.begin(nil)
 }
 
-// headErr returns an error if the head that has arrived is none.
-func (c *clientConn) headErr() error {
+// checkHead returns an error if the head of a final answer is none.
+func (c *clientConn) checkHead(response *http.Response) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.err()
+	return checkHead(response, &c.head)
 }
 
-// nextHead begins with the head behind an interim one.
-func (c *clientConn) nextHead() {
+// interimEnded returns an error if the head of an interim answer is none, and begins with the
+// one behind it.
+func (c *clientConn) interimEnded(header http.Header) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	err := cmp.Or(call.CheckNames(header), c.head.err())
 	c.head.begin(c.head.rest)
+	return err
 }
 
 // expectEnd makes the end of the connection count as that of the body only after the whole
--- a/internal/backend/head_scanner.go
+++ b/internal/backend/head_scanner.go
@@ -1,6 +1,14 @@
 package backend
 
-import "errors"
+import (
+	"cmp"
+	"errors"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/vanillasail/vanillasail/internal/call"
+)
 
 // errFolded is the error for a head with a line that begins with a blank. net/http joins
 // such a line with the one before, so that a header on it has no effect.
@@ -56,3 +64,12 @@
 	}
 	return nil
 }
+
+// checkHead returns an error if net/http has accepted a head that is none in HTTP/1.1. The
+// caller checks the status.
+func checkHead(response *http.Response, scanned *headScanner) error {
+	if response.ProtoMajor != 1 {
+		return eris.Errorf("an answer in %.20q is none in HTTP/1.1", response.Proto)
+	}
+	return cmp.Or(call.CheckNames(response.Header), scanned.err())
+}
--- a/internal/backend/heads_test.go
+++ b/internal/backend/heads_test.go
@@ -52,6 +52,9 @@
 		"blank behind an interim":    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sealed + " Bad: x\r\n" + length,
 		"blank in a trailer":         sealed + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nBad Name: x\r\n\r\n",
 		"zero byte in a trailer":     sealed + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nBa\x00d: x\r\n\r\n",
+		"HTTP/2.0":                   strings.Replace(valid, "HTTP/1.1", "HTTP/2.0", 1),
+		"HTTP/0.9":                   strings.Replace(valid, "HTTP/1.1", "HTTP/0.9", 1),
+		"another protocol":           strings.Replace(valid, "HTTP/1.1", "ICAP/1.0", 1),
 	} {
 		for reader, read := range readers {
 			t.Run(name+"/"+reader, func(t *testing.T) {
--- a/internal/backend/paced.go
+++ b/internal/backend/paced.go
@@ -1,14 +1,12 @@
 package backend
 
 import (
-	"cmp"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"sync/atomic"
 
-	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/tcp"
 )
 
@@ -33,10 +31,9 @@
 // the interim answers.
 func (u *usedConn) interim(_ int, header textproto.MIMEHeader) error {
 	conn := u.conn.Load()
-	if err := cmp.Or(call.CheckNames(http.Header(header)), conn.headErr()); err != nil {
+	if err := conn.interimEnded(http.Header(header)); err != nil {
 		return err
 	}
-	conn.nextHead()
 	conn.Next() // the server may work for long before the next answer
 	if conn.Received()-u.received.Load() > maxHeader {
 		return errHeaderTooLarge
--- a/internal/backend/server_conn.go
+++ b/internal/backend/server_conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"errors"
 	"net"
 	"net/http"
@@ -73,7 +72,7 @@
 		err = call.CheckStatus(response.StatusCode)
 	}
 	if err == nil {
-		err = cmp.Or(call.CheckNames(response.Header), c.head.err())
+		err = checkHead(response, &c.head)
 	}
 	return response, err
 }
