internal/backend: chunks in an answer over HTTP/1.0 are no body

What callers saw: for an HTTP/1.0 answer in chunks, the chunks with their sizes as its body.

Cause: HTTP/1.0 has no Transfer-Encoding. net/http ignores the header, takes the body up to the end of the connection and removes the header, so that nobody sees it.

--- a/internal/backend/head_scanner_test.go
+++ b/internal/backend/head_scanner_test.go
@@ -41,3 +41,29 @@
 		})
 	}
 }
+
+// Guards against an encoding that is overlooked, or found in a value or a body.
+func TestHeadScannerFindsTheEncoding(t *testing.T) {
+	for name, c := range map[string]struct {
+		text    string
+		encoded bool
+	}{
+		"usual":            {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		"other case":       {"HTTP/1.0 200 OK\nA: b\ntransfer-ENCODING:chunked\n\n", true},
+		"another name":     {"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\n\r\n", false},
+		"start of it":      {"HTTP/1.0 200 OK\r\nTransfer: chunked\r\n\r\n", false},
+		"end of a name":    {"HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\n\r\n", false},
+		"in a value":       {"HTTP/1.0 200 OK\r\nX: Transfer-Encoding: chunked\r\n\r\n", false},
+		"in a body":        {"HTTP/1.0 200 OK\r\n\r\nTransfer-Encoding: chunked\r\n", false},
+		"nearly, then not": {"HTTP/1.0 200 OK\r\nTransfer-Encxding: chunked\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range c.text {
+				var s headScanner
+				s.begin([]byte(c.text[:i]))
+				s.scan([]byte(c.text[i:]))
+				assert.Equal(t, s.encoded, c.encoded, "divided at %d", i)
+			}
+		})
+	}
+}
--- a/internal/backend/heads_test.go
+++ b/internal/backend/heads_test.go
@@ -55,6 +55,7 @@
 		"HTTP/2.0":                   strings.Replace(valid, "HTTP/1.1", "HTTP/2.0", 1),
 		"HTTP/0.9":                   strings.Replace(valid, "HTTP/1.1", "HTTP/0.9", 1),
 		"another protocol":           strings.Replace(valid, "HTTP/1.1", "ICAP/1.0", 1),
+		"chunks in HTTP/1.0":         strings.Replace(sealed, "HTTP/1.1", "HTTP/1.0", 1) + "transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	} {
 		for reader, read := range readers {
 			t.Run(name+"/"+reader, func(t *testing.T) {
