internal/standin/broken: the answers for both programs in one place

Cause: the tests with real nodes of package daemon and package platform had the same tables.

A comment of Pool says what its limit counts.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -51,8 +51,8 @@
 	maxSyncWrite = 8 << 10
 	// maxHeader is the size limit of an answer's header in bytes.
 	maxHeader = 64 << 10
-	// maxSkipped is the maximum number of answers to other requests that are skipped, and
-	// of interim answers before each final one.
+	// maxSkipped is how many final answers are read at most until the one to the request,
+	// and how many heads until each final one.
 	maxSkipped = 4
 	// maxSkippedBody is the size limit of the body of a skipped answer or of a probe's,
 	// in bytes. A server in trouble may send bytes without end.
--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// brokenUpload does not fit into the buffers of a connection to a server.
-	brokenUpload = 6 << 20
 	// brokenRuns is how often each request is repeated: the scheduler decides which call
 	// gets the error of a reset connection.
 	brokenRuns = 30
@@ -50,39 +48,19 @@
 // Guards against broken answers of a server that reach callers as whole ones, orders that
 // run a second time after one, and the promise that such an order has not run.
 func TestBrokenAnswersReachNoCaller(t *testing.T) {
-	const length = "Content-Length: 4\r\n\r\nbody"
-	reset := func(size int) *broken.Server {
-		return &broken.Server{Answer: brokenHead + "\r\n" + strings.Repeat("x", size), Early: true, End: broken.Reset}
-	}
-	for name, c := range map[string]struct {
-		server *broken.Server
-		size   int
-	}{
-		"reset, empty":     {reset(0), brokenUpload},
-		"reset, part":      {reset(500), brokenUpload},
-		"reset, long part": {reset(200_000), brokenUpload},
-		"status 000":       {&broken.Server{Answer: strings.Replace(brokenHead, "200", "000", 1) + length, End: broken.Close}, 10},
-		"status 099":       {&broken.Server{Answer: strings.Replace(brokenHead, "200", "099", 1) + length, End: broken.Close}, 10},
-		"behind 000":       {&broken.Server{Answer: "HTTP/1.1 000 No\r\nContent-Length: 500\r\n\r\n" + brokenHead + length, End: broken.Close}, 10},
-		"status 101":       {&broken.Server{Answer: "HTTP/1.1 101 Switching Protocols\r\n\r\n" + brokenHead + length, End: broken.Close}, 10},
-		"blank in a name":  {&broken.Server{Answer: brokenHead + "Bad Name: x\r\n" + length, End: broken.Close}, 10},
-		"blank behind":     {&broken.Server{Answer: brokenHead + "Content-Length : 4\r\n\r\nbody and more", End: broken.Close}, 10},
-		"zero byte":        {&broken.Server{Answer: brokenHead + "Ba\x00d: x\r\n" + length, End: broken.Close}, 10},
-		"blank before":     {&broken.Server{Answer: brokenHead + " Content-Length: 4\r\n\r\nbody and more", End: broken.Close}, 10},
-	} {
+	for name, c := range broken.Broken(brokenHead) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := c.server
-			cluster := startBrokenCluster(t, s)
+			cluster := startBrokenCluster(t, c.Server)
 			arrived := 0
 			for i := range 2 * brokenRuns {
 				id := fmt.Sprintf("up-%d", i)
-				response, body, err := cluster.call(t.Context(), i%2, http.MethodPost, "/stock/order", http.Header{"Request-Id": {id}}, strings.NewReader(strings.Repeat("u", c.size)))
-				if s.Requests(id) == 0 {
+				response, body, err := cluster.call(t.Context(), i%2, http.MethodPost, "/stock/order", http.Header{"Request-Id": {id}}, strings.NewReader(strings.Repeat("u", c.Size())))
+				if c.Requests(id) == 0 {
 					continue // the server is ejected
 				}
 				arrived++
-				assert.Equal(t, s.Requests(id), 1)
+				assert.Equal(t, c.Requests(id), 1)
 				if err == nil {
 					assert.Equal(t, response.StatusCode, http.StatusBadGateway, "%s: %.200q", id, body)
 					assert.Equal(t, response.Header.Get(call.HeaderOutcome), "unknown")
@@ -95,33 +73,17 @@
 
 // Guards against checks of answers that keep valid ones from callers.
 func TestUnusualAnswersReachCallers(t *testing.T) {
-	const (
-		body   = "the whole body"
-		length = "Content-Length: 14\r\n\r\n" + body
-	)
-	for name, c := range map[string]struct {
-		server *broken.Server
-		size   int
-		status int
-	}{
-		"early 413, then close": {&broken.Server{Answer: strings.Replace(brokenHead, "200", "413", 1) + length, Early: true, End: broken.Close}, brokenUpload, 413},
-		"early 413, then reset": {&broken.Server{Answer: strings.Replace(brokenHead, "200", "413", 1) + length, Early: true, End: broken.Reset}, brokenUpload, 413},
-		"ended by a close":      {&broken.Server{Answer: brokenHead + "\r\n" + body, End: broken.Close}, brokenUpload, 200},
-		"ended by a half-close": {&broken.Server{Answer: brokenHead + "\r\n" + body, Early: true, End: broken.HalfClose}, brokenUpload, 200},
-		"unknown status":        {&broken.Server{Answer: strings.Replace(brokenHead, "200", "299", 1) + length}, 10, 299},
-		"after interim answers": {&broken.Server{Answer: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + brokenHead + length}, 10, 200},
-	} {
+	for name, c := range broken.Valid(brokenHead) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := c.server
-			cluster := startBrokenCluster(t, s)
+			cluster := startBrokenCluster(t, c.Server)
 			for i := range 10 {
 				id := fmt.Sprintf("up-%d", i)
-				response, text, err := cluster.call(t.Context(), i%2, http.MethodPost, "/stock/order", http.Header{"Request-Id": {id}}, strings.NewReader(strings.Repeat("u", c.size)))
+				response, text, err := cluster.call(t.Context(), i%2, http.MethodPost, "/stock/order", http.Header{"Request-Id": {id}}, strings.NewReader(strings.Repeat("u", c.Size())))
 				assert.NilError(t, err)
-				assert.Equal(t, response.StatusCode, c.status, "%s: %.200q", id, text)
-				assert.Equal(t, text, body)
-				assert.Equal(t, s.Requests(id), 1)
+				assert.Equal(t, response.StatusCode, c.Status, "%s: %.200q", id, text)
+				assert.Equal(t, text, broken.Body)
+				assert.Equal(t, c.Requests(id), 1)
 			}
 		})
 	}
