--- a/internal/backend/client_conn.go
+++ b/internal/backend/client_conn.go
@@ -27,7 +27,7 @@
 	// size is the size of the current request if the body of its answer ends with the
 	// connection, and zero otherwise.
 	size int64
-	// failed is set when a write has failed or the connection was closed.
+	// failed is set when a write has failed, and closed and failed by Close.
 	failed, closed bool
 	// head scans the head of the current answer, final or interim.
 	head headScanner
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -112,7 +112,7 @@
 	}
 	done := func() {
 		// The server may have answered before it had read the complete body.
-		if !sent.complete() || !stop() {
+		if !stop() || !sent.complete() {
 			c.mustClose = true
 		}
 		p.put(c)
--- a/internal/backend/server_conn.go
+++ b/internal/backend/server_conn.go
@@ -19,7 +19,8 @@
 	// headerLeft is the number of bytes that may still be read for a header. A
 	// negative value means no limit.
 	headerLeft int
-	head       headScanner
+	// head scans the head that is being read.
+	head headScanner
 	// expires is the time after which the connection must not be reused.
 	expires   time.Time
 	idleSince time.Time
--- a/internal/backend/whole_body.go
+++ b/internal/backend/whole_body.go
@@ -51,8 +51,8 @@
 	sent *sending
 }
 
-// Read implements io.Reader. Its wait at the end of the body ends at the latest when the
-// connection is closed at the deadline.
+// Read implements io.Reader. At the end of the body it waits for the request, at most until
+// the connection is closed at the deadline.
 func (b *unframedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && b.sent.wait() != nil {
