internal/peer: the test of a silent connection waits for the whole answer

Cause: in the test. It moved the time of the last frame back as soon as the head of the first answer had arrived. The end frame of that answer, which the reader may handle after that, is a sign of life, so the next request is rightly sent without a ping.

Change: the test reads the first answer to its end before it moves the time back. What it demands is the same.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -223,10 +223,11 @@
 			t.Cleanup(proxy.Close)
 			call := func() error {
 				a, err := client.Call(context.Background(), proxy.TCPAddr(), c.request)
-				if err == nil {
-					err = a.Body.Close()
+				if err != nil {
+					return err
 				}
-				return err
+				_, err = io.Copy(io.Discard, a.Body) // its last frame counts as a sign of life, too
+				return errors.Join(err, a.Body.Close())
 			}
 			assert.NilError(t, call())
 			proxy.SetMode(relay.Silent)
