--- a/internal/standin/server/chain.go
+++ b/internal/standin/server/chain.go
@@ -12,7 +12,7 @@
 var forwardedHeaders = []string{"Request-Timeout", "Request-Hop", "Retry-Allowance", "Tenant", "Class"}
 
 // callNext makes the next call of a chain, to the same service through a node, and
-// forwards the answer.
+// forwards the answer, unless the call has failed and the server holds failures.
 func (s *Server) callNext(w http.ResponseWriter, r *http.Request, remaining int) {
 	target := url.URL{Scheme: "http", Host: s.Entry, Path: r.URL.Path}
 	query := r.URL.Query()
@@ -33,6 +33,10 @@
 		return
 	}
 	defer response.Body.Close()
+	if r.URL.Query().Get("hold") == "1" && response.StatusCode >= http.StatusInternalServerError {
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("Retry-Allowance", response.Header.Get("Retry-Allowance"))
 	w.WriteHeader(response.StatusCode)
 	_, _ = io.Copy(w, response.Body)
--- a/internal/standin/server/handle.go
+++ b/internal/standin/server/handle.go
@@ -16,7 +16,8 @@
 // handle runs one request. Query parameters: delay (milliseconds), size (bytes of
 // the answer), chunk (1: no Content-Length), cut (bytes after which the connection
 // is closed), status, crash (1), chain (remaining calls), last (delay of the last
-// call of a chain).
+// call of a chain), hold (1: a request whose call has failed is not answered until its
+// caller leaves).
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
