standin/relay: a refused packet does not end a flow

A relay in front of a node forwards the packets of each peer through a connected socket. A packet that arrives before the node listens is refused, the next read of the socket returns ECONNREFUSED, and the goroutine that forwards the replies ended: from then on no reply of the node reached that peer. No node is at fault.

The goroutine now ends only with its socket, and Close closes the sockets.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -125,6 +125,11 @@
 		_ = r.udp.Close()
 	}
 	r.SetMode(Cut)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		_ = f.socket.Close()
+	}
 }
 
 // ServeHTTP sets the mode to the parameter value: pass, cut, silent or one-way. With
--- a/internal/standin/relay/udp.go
+++ b/internal/standin/relay/udp.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 
@@ -73,9 +74,12 @@
 	buf := make([]byte, maxPacket)
 	for {
 		n, err := f.socket.Read(buf)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			continue // an earlier packet was refused, as before the target listens
+		}
 		if f.silent.Load() || r.currentMode() == Cut || r.isBlocked(f.peer.String()) {
 			r.dropped.Add(1)
 			continue
