backend: Client sends non-idempotent requests once

A GET, HEAD, OPTIONS or TRACE without a body that a rule calls non-idempotent ran twice when the server closed a connection that was used before without an answer.

net/http sends such a request again by its method alone. A request with a body and without GetBody it cannot send again, so these requests get an empty one. 'identity' keeps net/http from framing it: neither a length nor chunks are sent. As for a POST with a body, a connection that breaks before the first byte is sent gives the outcome unknown too.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -35,6 +35,10 @@
 	firstRead = 4 << 10
 )
 
+// resentMethods are the methods whose requests net/http sends again if they have no body
+// and a connection that was used before ends without an answer.
+var resentMethods = map[string]bool{http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodTrace: true}
+
 // Client sends requests to one backend server. Its zero value is ready to use.
 type Client struct {
 	transport atomic.Pointer[http.Transport]
@@ -171,11 +175,14 @@
 		Method: r.Method, URL: target, Host: addr, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}).WithContext(ctx)
-	if len(r.Body) > 0 {
-		// Without GetBody, net/http cannot send the body twice.
+	if len(r.Body) > 0 || !r.Idempotent && resentMethods[r.Method] {
+		// Without GetBody, net/http cannot send the body twice, not even an empty one.
 		request.Body = io.NopCloser(bytes.NewReader(r.Body))
 		request.ContentLength = int64(len(r.Body))
 	}
+	if request.Body != nil && request.ContentLength == 0 {
+		request.TransferEncoding = []string{"identity"} // sends neither chunks nor a length
+	}
 	return request, nil
 }
 
--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -13,6 +13,7 @@
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/internal/standin/broken"
 	"github.com/vanillasail/vanillasail/internal/standin/server"
+	"github.com/vanillasail/vanillasail/pkg/config"
 )
 
 const (
@@ -88,3 +89,32 @@
 		})
 	}
 }
+
+// Guards against requests that run twice because a connection to the server which was used
+// before ends without an answer. A rule says that the requests must not run again.
+func TestUnansweredRequestRunsOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodOptions, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			s := &broken.Server{Answer: brokenHead + "Content-Length: 0\r\n\r\n", Limit: 1}
+			cluster := startBrokenCluster(t, s)
+			rules := "services: {stock: {rules: {/stock/order: non-idempotent}}}"
+			for _, n := range cluster.nodes {
+				_, err := n.config.Apply(config.Record{Version: 1, Change: config.Change{Body: rules}})
+				assert.NilError(t, err)
+			}
+			statuses := make(map[int]int)
+			for i := range brokenRuns {
+				id := fmt.Sprintf("once-%d", i)
+				response, text, err := cluster.call(t.Context(), i%2, method, "/stock/order", http.Header{"Request-Id": {id}}, nil)
+				assert.NilError(t, err)
+				assert.Assert(t, s.Requests(id) <= 1, "%s ran %d times", id, s.Requests(id))
+				statuses[response.StatusCode]++
+				if s.Requests(id) == 1 && response.StatusCode != http.StatusOK {
+					assert.Equal(t, response.Header.Get(call.HeaderOutcome), "unknown", text)
+				}
+			}
+			assert.Assert(t, statuses[http.StatusOK] > 0 && statuses[http.StatusBadGateway] > 0, "%v", statuses)
+		})
+	}
+}
--- a/internal/standin/broken/server.go
+++ b/internal/standin/broken/server.go
@@ -44,6 +44,9 @@
 	Early bool
 	// End is what follows the answer.
 	End End
+	// Limit is how many requests are answered on a connection before the next one closes
+	// it; zero means no limit.
+	Limit int
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -100,7 +103,7 @@
 		s.mu.Unlock()
 	}()
 	in := bufio.NewReader(c)
-	for {
+	for answered := 0; ; answered++ {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -109,18 +112,22 @@
 			_, _ = io.WriteString(c, s.Health)
 			continue
 		}
-		if !s.answer(c, r) {
+		if !s.answer(c, r, s.Limit > 0 && answered == s.Limit) {
 			return
 		}
 	}
 }
 
-// answer answers one request and reports whether the connection stays open.
-func (s *Server) answer(c *net.TCPConn, r *http.Request) bool {
+// answer answers one request unless the connection is over its limit, and reports whether
+// the connection stays open.
+func (s *Server) answer(c *net.TCPConn, r *http.Request, over bool) bool {
 	id := r.Header.Get(s.Header)
 	s.mu.Lock()
 	s.requests[id]++
 	s.mu.Unlock()
+	if over {
+		return false
+	}
 	if !s.Early {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
