backend: probes have their own connections

A server that answers a request twice can send the second answer while a health check waits on the same connection. The node took it for the answer to the probe: a server that reports 503 counted as healthy, with a load of an earlier moment.

Answers to requests are told apart by their ID, those to probes have none. The idle connections of requests and of probes are now kept apart, so a connection of a probe never carried a request. The list of idle connections becomes a type, and two tests name it.

--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -186,9 +186,9 @@
 					return poll.Success()
 				default:
 				}
-				next, err := p.conn(t.Context(), addr, true)
+				next, err := p.requests.get(t.Context(), addr, true, 0)
 				assert.NilError(t, err)
-				p.put(next)
+				p.requests.put(next)
 				return poll.Continue("the connection is open")
 			}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
 			assert.Assert(t, server.Sent() < endlessSent)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -24,10 +24,9 @@
 	// Observe is called with the load in each answer; it may be nil.
 	Observe func(ServerLoad)
 
-	mu   sync.Mutex
-	idle []*serverConn
-	// closed is set by Close; connections are no longer kept after their answer.
-	closed bool
+	// A server may answer a request twice, and answers to probes have no ID, so probes
+	// have their own connections.
+	requests, probes idleConns
 	// partTimeout is the time limit of each part of an answer; zero means the default.
 	partTimeout time.Duration
 }
@@ -68,7 +67,7 @@
 	if err := p.HeaderNames.check(r); err != nil {
 		return nil, err
 	}
-	c, err := p.conn(ctx, addr, r.Idempotent)
+	c, err := p.requests.get(ctx, addr, r.Idempotent, p.partTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +114,7 @@
 		if !stop() || !sent.complete() {
 			c.mustClose = true
 		}
-		p.put(c)
+		p.requests.put(c)
 	}
 	if len(first) < bufferedAnswer {
 		done()
@@ -205,87 +204,16 @@
 	c.expires = time.Now().Add(keep)
 }
 
-// conn returns a reusable idle connection, or a new one.
-func (p *Pool) conn(ctx context.Context, addr string, idempotent bool) (*serverConn, error) {
-	for {
-		c := p.pop()
-		if c == nil {
-			return p.dial(ctx, addr)
-		}
-		now := time.Now()
-		if now.After(c.expires) || !idempotent && now.Sub(c.idleSince) > nonIdempotentIdle || c.RemoteAddr().String() != addr || !c.clean() {
-			_ = c.Close()
-			continue
-		}
-		return c, nil
-	}
-}
-
-func (p *Pool) pop() *serverConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
-	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
-}
-
-func (p *Pool) dial(ctx context.Context, addr string) (*serverConn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil && ctx.Err() != nil {
-		return nil, notSent()
-	}
-	if err != nil {
-		return nil, fault.New(fault.KindNoServer, "backend server accepts no connection: %v", err)
-	}
-	return newServerConn(conn, p.partTimeout), nil
-}
-
 // notSent returns the error for a request that was canceled before it was sent.
 func notSent() error {
 	return fault.New(fault.KindDeadline, "the deadline passed or the caller left before the request was sent").WithOutcome(fault.Refused)
 }
 
-// put returns a connection to the pool. The connection is closed if the answer
-// was not read completely or if further bytes have arrived.
-func (p *Pool) put(c *serverConn) {
-	if c.mustClose || c.reader.Buffered() > 0 {
-		_ = c.Close()
-		return
-	}
-	c.idleSince = time.Now()
-	p.mu.Lock()
-	keep := !p.closed && len(p.idle) < maxIdle
-	var old *serverConn
-	if keep {
-		if len(p.idle) > 0 && time.Now().After(p.idle[0].expires) {
-			old, p.idle = p.idle[0], p.idle[1:]
-		}
-		p.idle = append(p.idle, c)
-	}
-	p.mu.Unlock()
-	if old != nil {
-		_ = old.Close()
-	}
-	if !keep {
-		_ = c.Close()
-	}
-}
-
 // Close closes the idle connections. Connections in use are closed after their
 // answer.
 func (p *Pool) Close() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle, p.closed = nil, true
-	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
+	p.requests.close()
+	p.probes.close()
 }
 
 // classifySent returns the typed error for a request that was sent.
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -13,7 +13,7 @@
 // Probe requests the server's health check. It returns the server's ID and load;
 // healthy is false if the server reports that it is unhealthy or stopping.
 func (p *Pool) Probe(ctx context.Context, addr, path string) (instance string, load ServerLoad, healthy bool, err error) {
-	c, err := p.conn(ctx, addr, true)
+	c, err := p.probes.get(ctx, addr, true, p.partTimeout)
 	if err != nil {
 		return "", load, false, err
 	}
@@ -35,6 +35,6 @@
 	instance, healthy = response.Header.Get(p.HeaderNames.Instance), response.StatusCode == http.StatusOK
 	p.keepAlive(c, response)
 	c.Next()
-	p.put(c)
+	p.probes.put(c)
 	return instance, load, healthy, nil
 }
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -55,3 +56,30 @@
 		})
 	}
 }
+
+// Guards against a second answer to a request that arrives late and is taken for the answer
+// to a probe.
+func TestLateAnswerReachesNoProbe(t *testing.T) {
+	const empty = "Content-Length: 0\r\n\r\n"
+	s := startBroken(t, &broken.Server{
+		Answer: sealed + empty,
+		Late:   "HTTP/1.1 200 OK\r\nInstance: late\r\nLoad: 1,0,4,100\r\n" + empty,
+		Health: "HTTP/1.1 503 Service Unavailable\r\nInstance: i1\r\nLoad: 4,2,4,100\r\n" + empty,
+	})
+	p := Pool{HeaderNames: testHeaderNames}
+	p.HeaderNames.Instance = "Instance"
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for i := range 3 {
+		r := upload(fmt.Sprint(i), 0)
+		_, _, err := readAnswer(p.Do(ctx, s.Addr(), r))
+		assert.NilError(t, err)
+		id, load, healthy, err := p.Probe(ctx, s.Addr(), broken.HealthPath)
+		assert.NilError(t, err)
+		assert.Equal(t, id, "i1")
+		assert.Equal(t, load, ServerLoad{4, 2, 4, 1})
+		assert.Assert(t, !healthy)
+		assert.Equal(t, s.Requests(r.ID), 1)
+	}
+}
--- a/internal/backend/whole_body_test.go
+++ b/internal/backend/whole_body_test.go
@@ -148,7 +148,7 @@
 	"pool": func(ctx context.Context, conn *scriptedConn) (string, error) {
 		idle := newServerConn(conn, 0)
 		idle.expires = time.Now().Add(time.Minute)
-		p := Pool{HeaderNames: testHeaderNames, idle: []*serverConn{idle}}
+		p := Pool{HeaderNames: testHeaderNames, requests: idleConns{conns: []*serverConn{idle}}}
 		defer p.Close()
 		r := upload("1", 2*maxSyncWrite)
 		r.Idempotent = true
--- a/internal/standin/broken/server.go
+++ b/internal/standin/broken/server.go
@@ -38,6 +38,8 @@
 	Answer string
 	// Health is sent to requests for HealthPath; empty means Answer.
 	Health string
+	// Late is sent before Health on connections on which a request was answered.
+	Late string
 	// Header is the header of a request that contains its ID.
 	Header string
 	// Early sends the answer before the body of the request is read.
@@ -103,18 +105,23 @@
 		s.mu.Unlock()
 	}()
 	in := bufio.NewReader(c)
-	for answered := 0; ; answered++ {
+	answered := 0
+	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
 		if s.Health != "" && r.URL.Path == HealthPath {
+			if answered > 0 {
+				_, _ = io.WriteString(c, s.Late)
+			}
 			_, _ = io.WriteString(c, s.Health)
 			continue
 		}
 		if !s.answer(c, r, s.Limit > 0 && answered == s.Limit) {
 			return
 		}
+		answered++
 	}
 }
 
