review: add case 11, nodes that large uploads take over their memory limit

Cause: the bodies that a node gets from other nodes are held whole and are not bounded together, and the runtime does not know the memory limit.

--- /dev/null
+++ b/review/third/platform/trial/client.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// client is a client of one host, with one connection that it keeps open.
+type client struct {
+	host   *host
+	conn   net.Conn
+	reader *bufio.Reader
+	// used is the number of requests that the connection has carried.
+	used int
+}
+
+func newClient(h *host) *client { return &client{host: h} }
+
+// answer is what a client saw of one request.
+type answer struct {
+	status int
+	body   string
+	// kept is set if the request was sent on a connection that had carried others, and cut
+	// if the connection ended without a whole answer.
+	kept, cut bool
+	err       error
+	took      time.Duration
+}
+
+// String describes the answer.
+func (a answer) String() string {
+	if a.err != nil {
+		return fmt.Sprintf("%v after %s", a.err, a.took.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%d after %s", a.status, a.took.Round(time.Millisecond))
+}
+
+// send sends a request and waits for its answer, at most until its deadline.
+func (c *client) send(method, path, id string, body []byte, deadline time.Duration) (a answer) {
+	began := time.Now()
+	defer func() {
+		a.took = time.Since(began)
+		if a.err != nil {
+			c.close()
+		}
+	}()
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.host.addr(portCallers), time.Second)
+		if err != nil {
+			return answer{err: err}
+		}
+		c.conn, c.reader, c.used = conn, bufio.NewReader(conn), 0
+	}
+	a.kept = c.used > 0
+	c.used++
+	_ = c.conn.SetDeadline(began.Add(deadline))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", method, path, id, deadline.Milliseconds(), len(body))
+	buffers := net.Buffers{[]byte(head), body}
+	_, sendErr := buffers.WriteTo(c.conn)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		a.err = err
+		if sendErr != nil {
+			a.err = sendErr
+		}
+		timeout, ok := err.(net.Error)
+		a.cut = !ok || !timeout.Timeout()
+		return a
+	}
+	text, err := io.ReadAll(response.Body)
+	a.status, a.body, a.err = response.StatusCode, string(text), err
+	a.cut = err != nil
+	if response.Close {
+		c.close()
+	}
+	return a
+}
+
+func (c *client) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+	c.conn = nil
+}
--- /dev/null
+++ b/review/third/platform/trial/host.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Ports of each host.
+const (
+	portPeer    = "7660"
+	portReady   = "8140"
+	portCallers = "8141"
+	portReports = "8146"
+	portServer  = "8147"
+	portMetrics = "9464"
+)
+
+const (
+	beatInterval = 1500 * time.Millisecond
+	restartDelay = time.Second
+	// memoryMB is self.limits.memoryMb of the pages' example.
+	memoryMB = 284
+)
+
+// host is a machine: a node in its own process, and a stand-in for its backend server.
+type host struct {
+	*trial
+	name, ip, service string
+	index             int
+
+	server *server
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	ended    bool
+	seq      int
+	peakMB   int
+	kills    int
+	stopBeat chan struct{}
+}
+
+func (h *host) addr(port string) string { return net.JoinHostPort(h.ip, port) }
+
+// settings returns the lines of a settings file like the pages' example.
+func (h *host) settings(bootstrap bool) string {
+	zone := h.index % 3
+	return fmt.Sprintf(`self.nodeName=%s
+self.role=node
+self.machineClass=sidecar
+self.serves=sidecar
+self.ip=%s
+self.zone=z%d
+self.region=r%d
+self.faultCounted=false
+self.bootstrap=%t
+self.limits.cpuShare=0.32
+self.limits.cpuCores=1
+self.limits.memoryMb=%d
+self.limits.maxFds=4100
+self.limits.linkMbps=1000.0
+self.limits.diskMb=0
+self.appAddr=%s
+self.service=%s
+network.listen.outbound=%s
+network.listen.ready=%s
+network.listen.control=%s
+network.internalPorts=%s,7675
+network.seeds=
+platform.discovery=static
+platform.entryType=static
+platform.beatInterval=1500ms
+platform.platform.address=%s
+platform.platform.form=table
+terms.bounds.seedLag=3s
+terms.bounds.addrReuse=2s
+terms.bounds.stableWindow=3000ms
+terms.bounds.ack=4000ms
+terms.bounds.drain=2000ms
+terms.bounds.grace=6s
+terms.bounds.lossSlack=200ms
+terms.bounds.configApply=2000ms
+terms.bounds.retryBudgetRatio=0.2
+terms.bounds.budgetWindow=10s
+terms.bounds.budgetExtraTries=64
+terms.bounds.recover=15s
+`, h.name, h.ip, zone, zone, bootstrap, memoryMB, h.addr(portServer), h.service,
+		h.addr(portCallers), h.addr(portReady), h.addr(portReports), portPeer, h.store.Addr())
+}
+
+func (h *host) settingsPath() string { return filepath.Join(h.dir, h.name+".conf") }
+
+// startNode writes the settings and starts the node as the deploy file does.
+func (h *host) startNode(bootstrap bool) error {
+	if err := os.WriteFile(h.settingsPath(), []byte(h.settings(bootstrap)), 0o644); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(h.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		_ = log.Close()
+		return nil
+	}
+	cmd := exec.Command("target/vanillasail")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "VANILLASAIL_NODE_FILE=" + h.settingsPath()}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	h.cmd, h.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the node.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd != nil {
+		_ = h.cmd.Process.Signal(s)
+	}
+}
+
+// kill kills the node and waits for its end.
+func (h *host) kill() {
+	h.signal(syscall.SIGKILL)
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+}
+
+// end ends the node and the server for good.
+func (h *host) end() {
+	h.mu.Lock()
+	h.ended = true
+	h.mu.Unlock()
+	h.signal(syscall.SIGCONT)
+	h.kill()
+	if h.server != nil {
+		h.server.stop()
+	}
+}
+
+func (h *host) isReady() bool {
+	response, err := quickClient.Get("http://" + h.addr(portReady) + "/api/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// startServer starts the backend server and its heartbeats.
+func (h *host) startServer() error {
+	h.server = &server{id: fmt.Sprintf("i-%s-%d", h.name, os.Getpid()), service: h.service, slots: 12, born: time.Now().UnixMilli(), work: 110 * time.Millisecond, trial: h.trial}
+	if err := h.server.start(h.addr(portServer)); err != nil {
+		return err
+	}
+	h.stopBeat = make(chan struct{})
+	h.addCleanup(sync.OnceFunc(func() { close(h.stopBeat) }))
+	go func() {
+		for {
+			h.beat()
+			select {
+			case <-h.stopBeat:
+				return
+			case <-time.After(beatInterval):
+			}
+		}
+	}()
+	return nil
+}
+
+// beat sends a heartbeat and returns the status of its answer.
+func (h *host) beat() int {
+	h.mu.Lock()
+	h.seq++
+	seq := h.seq
+	h.mu.Unlock()
+	body, _ := json.Marshal(map[string]any{ // plain values always encode
+		"service": h.service, "address": h.addr(portServer), "zone": fmt.Sprintf("z%d", h.index%3), "version": "v1", "slots": h.server.slots,
+		"state": h.server.currentState(), "coldLeft": "0ms", "seq": seq, "born": h.server.born,
+	})
+	return post("http://"+h.addr(portReports)+"/api/instances/"+h.server.id+"/heartbeat", body)
+}
+
+// watchMemory kills the node when it holds more memory than its limit, as the platform
+// does, and starts it again. It ends with the trial.
+func (h *host) watchMemory() {
+	stop := make(chan struct{})
+	h.addCleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			h.mu.Lock()
+			pid := h.cmd.Process.Pid
+			h.mu.Unlock()
+			mb := residentMB(pid)
+			h.mu.Lock()
+			h.peakMB = max(h.peakMB, mb)
+			ended := h.ended
+			h.mu.Unlock()
+			if ended || mb <= memoryMB || os.Getenv("NOKILL") != "" {
+				continue
+			}
+			h.mu.Lock()
+			h.kills++
+			h.mu.Unlock()
+			h.kill()
+			h.record("%s held %d MB, over its limit of %d MB: killed", h.name, mb, memoryMB)
+			time.Sleep(restartDelay)
+			if err := h.startNode(false); err != nil {
+				h.record("%s not started again: %v", h.name, err)
+				return
+			}
+		}
+	}()
+}
+
+// residentMB returns the anonymous memory of a process, without the pages of its program
+// file, in MB.
+func residentMB(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb >> 10
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/review/third/platform/trial/server.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// server is a stand-in for a backend server.
+type server struct {
+	*trial
+	id, service string
+	slots       int
+	born        int64
+	work        time.Duration
+
+	mu      sync.Mutex
+	state   string
+	running int
+	runs    map[string]int
+	http    *http.Server
+}
+
+func (s *server) currentState() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == "" {
+		return "ready"
+	}
+	return s.state
+}
+
+func (s *server) start(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s.runs = make(map[string]int)
+	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
+	go func() { _ = s.http.Serve(l) }()
+	return nil
+}
+
+func (s *server) stop() { _ = s.http.Close() }
+
+// ran returns how often a request began to run.
+func (s *server) ran(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("X-Instance-Id", s.id)
+	s.mu.Lock()
+	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d,100", s.running, s.slots))
+	s.mu.Unlock()
+	if r.URL.Path == "/health" {
+		if s.currentState() != "ready" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	h.Set("X-Attempt-Id", id)
+	if target := r.Header.Get("X-Target-Instance"); target != "" && target != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	n, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	if s.running >= s.slots {
+		s.mu.Unlock()
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.running++
+	s.runs[id]++
+	s.mu.Unlock()
+	s.record("server %s runs %s, body of %d bytes", s.id, id, n)
+	time.Sleep(s.work)
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	body := fmt.Sprintf("%s ran %s\n", s.id, id)
+	h.Set("X-Response-Seal", "seal-"+id)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body)
+}
