review: let the stand-in's requests take one to five times as long

Cause: all clients of a host sent in step, so that in one of eight plays of case 12 no more than two orders were at work when the node was killed. Change: 24 clients a host, and requests of 90 to 450 ms.

--- a/review/third/platform/trial/host.go
+++ b/review/third/platform/trial/host.go
@@ -174,7 +174,7 @@
 
 // startServer starts the backend server and its heartbeats.
 func (h *host) startServer() error {
-	h.server = &server{id: fmt.Sprintf("i-%s-%d", h.name, os.Getpid()), service: h.service, slots: 12, born: time.Now().UnixMilli(), work: 110 * time.Millisecond, trial: h.trial}
+	h.server = &server{id: fmt.Sprintf("i-%s-%d", h.name, os.Getpid()), service: h.service, slots: 12, born: time.Now().UnixMilli(), work: 90 * time.Millisecond, trial: h.trial}
 	if err := h.server.start(h.addr(portServer)); err != nil {
 		return err
 	}
--- a/review/third/platform/trial/server.go
+++ b/review/third/platform/trial/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -16,7 +17,8 @@
 	id, service string
 	slots       int
 	born        int64
-	work        time.Duration
+	// work is the shortest duration of a request.
+	work time.Duration
 
 	mu      sync.Mutex
 	state   string
@@ -54,6 +56,14 @@
 	return s.runs[id]
 }
 
+// duration returns how long a request takes: one to five times the shortest duration, since
+// servers share their machines with others.
+func (s *server) duration(id string) time.Duration {
+	sum := fnv.New32a()
+	_, _ = io.WriteString(sum, id) // a hash returns no error
+	return s.work * time.Duration(100+sum.Sum32()%400) / 100
+}
+
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
@@ -88,7 +98,7 @@
 	s.runs[id]++
 	s.mu.Unlock()
 	s.record("server %s runs %s, body of %d bytes", s.id, id, n)
-	time.Sleep(s.work)
+	time.Sleep(s.duration(id))
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
--- a/review/third/platform/trial/uploads.go
+++ b/review/third/platform/trial/uploads.go
@@ -35,7 +35,7 @@
 	// uploadSeconds is how long uploads are sent: a burst of 1.7 times the traffic lasts 3 s.
 	uploadSeconds = 3
 	// orderClients is the number of clients on each watched host.
-	orderClients = 12
+	orderClients = 24
 	// maxLost is how many orders the rule allows a host to lose.
 	maxLost = 3
 )
