--- a/review/third/platform/trial/client.go
+++ b/review/third/platform/trial/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	reader *bufio.Reader
 	// used is the number of requests that the connection has carried.
 	used int
+	// leaveAfter is when the client closes its connection without the answer; zero means at
+	// the deadline.
+	leaveAfter time.Duration
 }
 
 func newClient(h *host) *client { return &client{host: h} }
@@ -39,6 +43,17 @@
 	return fmt.Sprintf("%d after %s", a.status, a.took.Round(time.Millisecond))
 }
 
+// kind returns the status, or a word for an answer that did not come.
+func (a answer) kind() string {
+	switch {
+	case a.cut:
+		return "cut"
+	case a.err != nil:
+		return "none"
+	}
+	return strconv.Itoa(a.status)
+}
+
 // send sends a request and waits for its answer, at most until its deadline.
 func (c *client) send(method, path, id string, body []byte, deadline time.Duration) (a answer) {
 	began := time.Now()
@@ -57,7 +72,11 @@
 	}
 	a.kept = c.used > 0
 	c.used++
-	_ = c.conn.SetDeadline(began.Add(deadline))
+	wait := deadline
+	if c.leaveAfter > 0 {
+		wait = c.leaveAfter
+	}
+	_ = c.conn.SetDeadline(began.Add(wait))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", method, path, id, deadline.Milliseconds(), len(body))
 	buffers := net.Buffers{[]byte(head), body}
 	_, sendErr := buffers.WriteTo(c.conn)
--- a/review/third/platform/trial/config.go
+++ b/review/third/platform/trial/config.go
@@ -14,5 +14,5 @@
 
 // route returns a route of the configuration.
 func route(name, prefix, kind, timeout, service string) string {
-	return fmt.Sprintf(`{"name":%q,"host":"ficu95.example","pathPrefix":%q,"routeType":%q,"timeout":%q,"targetLatency":"400ms","priority":1,"service":%q,"maxAttempts":2}`, name, prefix, kind, timeout, service)
+	return fmt.Sprintf(`{"name":%q,"host":"ficu95.example","pathPrefix":%q,"routeType":%q,"timeout":%q,"targetLatency":"300ms","priority":1,"service":%q,"maxAttempts":2}`, name, prefix, kind, timeout, service)
 }
--- a/review/third/platform/trial/host.go
+++ b/review/third/platform/trial/host.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,9 +39,9 @@
 	name, ip, service string
 	index             int
 
-	server *server
-
-	mu       sync.Mutex
+	mu sync.Mutex
+	// servers are the incarnations of the backend server, the newest last.
+	servers  []*server
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	ended    bool
@@ -158,8 +159,8 @@
 	h.mu.Unlock()
 	h.signal(syscall.SIGCONT)
 	h.kill()
-	if h.server != nil {
-		h.server.stop()
+	if len(h.servers) > 0 {
+		h.server().stop()
 	}
 }
 
@@ -174,12 +175,11 @@
 
 // startServer starts the backend server and its heartbeats.
 func (h *host) startServer() error {
-	h.server = &server{id: fmt.Sprintf("i-%s-%d", h.name, os.Getpid()), service: h.service, slots: 12, born: time.Now().UnixMilli(), work: 90 * time.Millisecond, trial: h.trial}
-	if err := h.server.start(h.addr(portServer)); err != nil {
+	if err := h.nextServer(); err != nil {
 		return err
 	}
 	h.stopBeat = make(chan struct{})
-	h.addCleanup(sync.OnceFunc(func() { close(h.stopBeat) }))
+	h.addCleanup(func() { close(h.stopBeat) })
 	go func() {
 		for {
 			h.beat()
@@ -193,17 +193,79 @@
 	return nil
 }
 
-// beat sends a heartbeat and returns the status of its answer.
-func (h *host) beat() int {
+// downTime is how long a crashed server is away.
+const downTime = 2 * time.Second
+
+// nextServer starts the next incarnation of the backend server, which starts again after a
+// crash.
+func (h *host) nextServer() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := &server{
+		id: fmt.Sprintf("i-%s-%d-%d", h.name, os.Getpid(), len(h.servers)), service: h.service, slots: 12, born: time.Now().UnixMilli(),
+		work: 90 * time.Millisecond, trial: h.trial,
+	}
+	s.crashed = func() {
+		time.AfterFunc(downTime, func() {
+			if err := h.nextServer(); err != nil {
+				h.record("server of %s not started again: %v", h.name, err)
+				return
+			}
+			h.beat()
+		})
+	}
+	if h.ended {
+		return nil
+	}
+	h.servers, h.seq = append(h.servers, s), 0
+	return s.start(h.addr(portServer))
+}
+
+// server returns the newest incarnation of the backend server.
+func (h *host) server() *server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.servers[len(h.servers)-1]
+}
+
+// ran returns how often a request began to run on the host.
+func (h *host) ran(id string) (n int) {
+	h.mu.Lock()
+	servers := slices.Clone(h.servers)
+	h.mu.Unlock()
+	for _, s := range servers {
+		n += s.ran(id)
+	}
+	return n
+}
+
+// crashes returns when servers of the host have crashed.
+func (h *host) crashes() (times []time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.servers {
+		if at := s.crashTime(); !at.IsZero() {
+			times = append(times, at)
+		}
+	}
+	return times
+}
+
+// beat sends a heartbeat of the backend server, unless it is down.
+func (h *host) beat() {
+	s := h.server()
+	if !s.crashTime().IsZero() {
+		return
+	}
 	h.mu.Lock()
 	h.seq++
 	seq := h.seq
 	h.mu.Unlock()
 	body, _ := json.Marshal(map[string]any{ // plain values always encode
-		"service": h.service, "address": h.addr(portServer), "zone": fmt.Sprintf("z%d", h.index%3), "version": "v1", "slots": h.server.slots,
-		"state": h.server.currentState(), "coldLeft": "0ms", "seq": seq, "born": h.server.born,
+		"service": h.service, "address": h.addr(portServer), "zone": fmt.Sprintf("z%d", h.index%3), "version": "v1", "slots": s.slots,
+		"state": s.currentState(), "coldLeft": "0ms", "seq": seq, "born": s.born,
 	})
-	return post("http://"+h.addr(portReports)+"/api/instances/"+h.server.id+"/heartbeat", body)
+	post("http://"+h.addr(portReports)+"/api/instances/"+s.id+"/heartbeat", body)
 }
 
 // watchMemory kills the node when it holds more memory than its limit, as the platform
--- /dev/null
+++ b/review/third/platform/trial/poison.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+func init() { cases["poison"] = poison }
+
+const (
+	poisonHosts  = 12
+	stableWindow = 3 * time.Second
+	// poisonPause is the time between two requests that crash servers.
+	poisonPause = 250 * time.Millisecond
+	// leaveTime is how long clients leave before their deadline, after leaveAfter: half of
+	// the routes' latency objective.
+	leaveTime, leaveAfter = 5500 * time.Millisecond, 150 * time.Millisecond
+	// poisonTime is how long the requests come that crash servers.
+	poisonTime = 10 * time.Second
+	// maxRetries is how many retries the rule allows.
+	maxRetries = 3
+)
+
+// poison sends a request that crashes each server that begins to run it, again and again and
+// at any host. In the disruption its client leaves before its deadline, as does a quarter of
+// the others. The rule BUDGET holds if at most three retries reach servers that were sent
+// later than stableWindow after the third crash.
+func poison(t *trial) (bool, error) {
+	t.configure(7, route("look", "/look/", "idempotent", "1200ms", "estoque"), route("order", "/order/", "non_idempotent", "1500ms", "estoque"))
+	if err := t.addHosts(slices.Repeat([]string{"estoque"}, poisonHosts)...); err != nil {
+		return false, err
+	}
+	if err := t.awaitReady(15 * time.Second); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var leaving, others sync.WaitGroup
+	answers := make(map[string]int)
+	var mu sync.Mutex
+	end := time.Now().Add(time.Hour)
+	// leave returns when a client leaves whose request is sent now.
+	leave := func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if t.trouble && time.Now().Before(end) {
+			return leaveAfter
+		}
+		return 0
+	}
+	for i, h := range t.hosts {
+		for n, path := range []string{"/order/", "/order/", "/look/", "/look/"} {
+			others.Go(func() {
+				c := newClient(h)
+				for j := 0; ctx.Err() == nil; j++ {
+					id := fmt.Sprintf("c%d-%d-%d", i, n, j)
+					a := c.send("GET", path+id, id, nil, 1200*time.Millisecond)
+					mu.Lock()
+					answers[path+" "+a.kind()]++
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	time.Sleep(stableWindow)
+	mu.Lock()
+	end = time.Now().Add(leaveTime)
+	mu.Unlock()
+	for i, h := range t.hosts {
+		leaving.Go(func() {
+			c := newClient(h)
+			for j := 0; leave() > 0; j++ {
+				id := fmt.Sprintf("g%d-%d", i, j)
+				c.leaveAfter = leave()
+				c.send("GET", "/look/"+id, id, nil, 1200*time.Millisecond)
+			}
+		})
+	}
+	late := make([]func() bool, 0)
+	for n, began := 0, time.Now(); time.Since(began) < poisonTime; n++ {
+		h, id := t.hosts[n%len(t.hosts)], fmt.Sprintf("p%d", n)
+		sent := time.Now()
+		leaving.Go(func() {
+			c := newClient(h)
+			c.leaveAfter = leave()
+			a := c.send("GET", "/look/crash", id, nil, 1200*time.Millisecond)
+			t.record("request %s at %s: %s", id, h.name, a)
+		})
+		late = append(late, func() bool {
+			third, ok := t.thirdCrash()
+			reached := 0
+			for _, other := range t.hosts {
+				reached += other.ran(id)
+			}
+			return ok && sent.After(third.Add(stableWindow)) && reached > 0
+		})
+		time.Sleep(poisonPause)
+	}
+	leaving.Wait()
+	cancel()
+	others.Wait()
+	retries, crashes := 0, 0
+	for _, reached := range late {
+		if reached() {
+			retries++
+		}
+	}
+	for _, h := range t.hosts {
+		crashes += len(h.crashes())
+	}
+	t.record("answers to the other requests, whose clients stayed: %v", answers)
+	t.record("%d crashes; %d retries reached servers that were sent later than %s after the third", crashes, retries, stableWindow)
+	return retries <= maxRetries, nil
+}
+
+// thirdCrash returns the time of the third crash of a server, if there were three.
+func (t *trial) thirdCrash() (time.Time, bool) {
+	var all []time.Time
+	for _, h := range t.hosts {
+		all = append(all, h.crashes()...)
+	}
+	if len(all) < 3 {
+		return time.Time{}, false
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all[2], true
+}
--- a/review/third/platform/trial/server.go
+++ b/review/third/platform/trial/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,13 +21,25 @@
 	// work is the shortest duration of a request.
 	work time.Duration
 
+	// crashed is called when a request has crashed the server; it may be nil.
+	crashed func()
+
 	mu      sync.Mutex
 	state   string
 	running int
 	runs    map[string]int
-	http    *http.Server
+	// crashedAt is when the server has crashed; zero if it has not.
+	crashedAt time.Time
+	http      *http.Server
 }
 
+// crashPath is the end of the paths of requests that crash each server that runs them, and
+// crashDelay how long a server runs one before.
+const (
+	crashPath  = "/crash"
+	crashDelay = 400 * time.Millisecond
+)
+
 func (s *server) currentState() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -49,6 +62,31 @@
 
 func (s *server) stop() { _ = s.http.Close() }
 
+// crash closes the server with all of its connections.
+func (s *server) crash(id string) {
+	s.mu.Lock()
+	down := !s.crashedAt.IsZero()
+	if !down {
+		s.crashedAt = time.Now()
+	}
+	s.mu.Unlock()
+	if down {
+		return
+	}
+	s.record("server %s crashes because of %s", s.id, id)
+	s.stop()
+	if s.crashed != nil {
+		s.crashed()
+	}
+}
+
+// crashTime returns when the server has crashed; zero if it has not.
+func (s *server) crashTime() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashedAt
+}
+
 // ran returns how often a request began to run.
 func (s *server) ran(id string) int {
 	s.mu.Lock()
@@ -98,6 +136,11 @@
 	s.runs[id]++
 	s.mu.Unlock()
 	s.record("server %s runs %s, body of %d bytes", s.id, id, n)
+	if strings.HasSuffix(r.URL.Path, crashPath) {
+		time.Sleep(crashDelay) // it has begun, and a client that leaves does not end it
+		s.crash(id)
+		return
+	}
 	time.Sleep(s.duration(id))
 	s.mu.Lock()
 	s.running--
--- a/review/third/platform/trial/uploads.go
+++ b/review/third/platform/trial/uploads.go
@@ -111,7 +111,7 @@
 		}
 		runs := 0
 		for _, other := range t.hosts {
-			runs += other.server.ran(id)
+			runs += other.ran(id)
 		}
 		t.record("order %s at %s: %s, run %d times", id, h.name, a, runs)
 		if a.cut && a.kept && runs > 0 {
