review: keep the usual traffic of case 11 well below the memory limit

Cause: with 5 uploads of 32 MB a second, evenly spread, a node held up to 247 of its 284 MB, so that the play without the burst could fail. Change: 6 uploads of 24 MB a second at five hosts, and 10 in the burst.

--- a/review/third/platform/trial/uploads.go
+++ b/review/third/platform/trial/uploads.go
@@ -9,9 +9,9 @@
 )
 
 func init() {
-	// The nodes beside the endpoints get the uploads of clients on four other hosts.
+	// The nodes beside the endpoints get the uploads of clients on five other hosts.
 	cases["uploads-at-servers"] = func(t *trial) (bool, error) {
-		return uploads(t, uploadCase{bytes: 32 << 20, usual: 5, burst: 8, entries: []int{1, 2, 4, 5}, watched: []int{0, 3}})
+		return uploads(t, uploadCase{bytes: 24 << 20, usual: 6, burst: 10, entries: []int{1, 2, 4, 5, 6}, watched: []int{0, 3}})
 	}
 	// One node gets all uploads from the clients on its own host.
 	cases["uploads-at-entry"] = func(t *trial) (bool, error) {
@@ -46,7 +46,7 @@
 // connections while or after a server has run their orders.
 func uploads(t *trial, c uploadCase) (bool, error) {
 	t.configure(7, route("slot", "/slot/", "upload", "1500ms", "expedicao"), route("order", "/order/", "non_idempotent", "1500ms", "estoque"))
-	if err := t.addHosts("expedicao", "estoque", "estoque", "expedicao", "estoque", "estoque"); err != nil {
+	if err := t.addHosts("expedicao", "estoque", "estoque", "expedicao", "estoque", "estoque", "estoque"); err != nil {
 		return false, err
 	}
 	if err := t.awaitReady(15 * time.Second); err != nil {
