review: drop two cases that an earlier one shows, and number the third anew

Cause: the earlier case 2 shows that large bodies take nodes over their memory limit, at the entry and beside the endpoint. Change: cases 11 and 12 and their parts of the stand-in are removed; case 13 is case 11.

--- a/review/third/platform/trial/client.go
+++ b/review/third/platform/trial/client.go
@@ -15,8 +15,6 @@
 	host   *host
 	conn   net.Conn
 	reader *bufio.Reader
-	// used is the number of requests that the connection has carried.
-	used int
 	// leaveAfter is when the client closes its connection without the answer; zero means at
 	// the deadline.
 	leaveAfter time.Duration
@@ -28,11 +26,10 @@
 type answer struct {
 	status int
 	body   string
-	// kept is set if the request was sent on a connection that had carried others, and cut
-	// if the connection ended without a whole answer.
-	kept, cut bool
-	err       error
-	took      time.Duration
+	// cut is set if the connection ended without a whole answer.
+	cut  bool
+	err  error
+	took time.Duration
 }
 
 // String describes the answer.
@@ -68,10 +65,8 @@
 		if err != nil {
 			return answer{err: err}
 		}
-		c.conn, c.reader, c.used = conn, bufio.NewReader(conn), 0
+		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	a.kept = c.used > 0
-	c.used++
 	wait := deadline
 	if c.leaveAfter > 0 {
 		wait = c.leaveAfter
--- a/review/third/platform/trial/host.go
+++ b/review/third/platform/trial/host.go
@@ -9,8 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,7 +26,6 @@
 
 const (
 	beatInterval = 1500 * time.Millisecond
-	restartDelay = time.Second
 	// memoryMB is self.limits.memoryMb of the pages' example.
 	memoryMB = 284
 )
@@ -46,8 +43,6 @@
 	exited   chan struct{}
 	ended    bool
 	seq      int
-	peakMB   int
-	kills    int
 	stopBeat chan struct{}
 }
 
@@ -267,56 +262,3 @@
 	})
 	post("http://"+h.addr(portReports)+"/api/instances/"+s.id+"/heartbeat", body)
 }
-
-// watchMemory kills the node when it holds more memory than its limit, as the platform
-// does, and starts it again. It ends with the trial.
-func (h *host) watchMemory() {
-	stop := make(chan struct{})
-	h.addCleanup(func() { close(stop) })
-	go func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(5 * time.Millisecond):
-			}
-			h.mu.Lock()
-			pid := h.cmd.Process.Pid
-			h.mu.Unlock()
-			mb := residentMB(pid)
-			h.mu.Lock()
-			h.peakMB = max(h.peakMB, mb)
-			ended := h.ended
-			h.mu.Unlock()
-			if ended || mb <= memoryMB {
-				continue
-			}
-			h.mu.Lock()
-			h.kills++
-			h.mu.Unlock()
-			h.kill()
-			h.record("%s held %d MB, over its limit of %d MB: killed", h.name, mb, memoryMB)
-			time.Sleep(restartDelay)
-			if err := h.startNode(false); err != nil {
-				h.record("%s not started again: %v", h.name, err)
-				return
-			}
-		}
-	}()
-}
-
-// residentMB returns the anonymous memory of a process, without the pages of its program
-// file, in MB.
-func residentMB(pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return kb >> 10
-		}
-	}
-	return 0
-}
--- a/review/third/platform/trial/main.go
+++ b/review/third/platform/trial/main.go
@@ -1,4 +1,4 @@
-// Command trial-3 plays the cases of the third review: it starts nodes as separate
+// Command trial-3 plays the scripts of the third review: it starts nodes as separate
 // processes, with stand-ins for the platform, the backend servers and the clients, and
 // checks one rule.
 package main
--- a/review/third/platform/trial/poison.go
+++ b/review/third/platform/trial/poison.go
@@ -52,14 +52,14 @@
 		return 0
 	}
 	for i, h := range t.hosts {
-		for n, path := range []string{"/order/", "/order/", "/look/", "/look/"} {
+		for n, kind := range []struct{ method, path string }{{"POST", "/order/"}, {"POST", "/order/"}, {"GET", "/look/"}, {"GET", "/look/"}} {
 			others.Go(func() {
 				c := newClient(h)
 				for j := 0; ctx.Err() == nil; j++ {
 					id := fmt.Sprintf("c%d-%d-%d", i, n, j)
-					a := c.send("GET", path+id, id, nil, 1200*time.Millisecond)
+					a := c.send(kind.method, kind.path+id, id, nil, 1200*time.Millisecond)
 					mu.Lock()
-					answers[path+" "+a.kind()]++
+					answers[kind.path+" "+a.kind()]++
 					mu.Unlock()
 				}
 			})
--- a/review/third/platform/trial/trial.go
+++ b/review/third/platform/trial/trial.go
@@ -51,9 +51,7 @@
 	for _, f := range t.cleanups {
 		f()
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(t.dir)
-	}
+	_ = os.RemoveAll(t.dir)
 	_ = t.out.Close()
 }
 
@@ -124,13 +122,12 @@
 
 var quickClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// post sends a heartbeat or a deregistration and returns the status, or zero.
-func post(url string, body []byte) int {
+// post sends a heartbeat. A server that gets no answer sends the next one all the same.
+func post(url string, body []byte) {
 	response, err := quickClient.Post(url, "application/json", bytes.NewReader(body))
 	if err != nil {
-		return 0
+		return
 	}
 	defer response.Body.Close()
 	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
 }
