--- a/review/third/platform/trial/client.go
+++ b/review/third/platform/trial/client.go
@@ -27,7 +27,9 @@
 	status int
 	body   string
 	// cut is set if the connection ended without a whole answer.
-	cut  bool
+	cut bool
+	// wait is when the client may come again; zero if the answer does not say.
+	wait time.Duration
 	err  error
 	took time.Duration
 }
@@ -54,8 +56,10 @@
 // send sends a request and waits for its answer, at most until its deadline.
 func (c *client) send(method, path, id string, body []byte, deadline time.Duration) (a answer) {
 	began := time.Now()
+	c.host.record("sent %s: %s %s at %s, body of %d bytes", id, method, path, c.host.name, len(body))
 	defer func() {
 		a.took = time.Since(began)
+		c.host.record("answered %s: %s", id, a)
 		if a.err != nil {
 			c.close()
 		}
@@ -88,6 +92,10 @@
 	text, err := io.ReadAll(response.Body)
 	a.status, a.body, a.err = response.StatusCode, string(text), err
 	a.cut = err != nil
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		// Clients honour it up to a third of the time that they have left.
+		a.wait = min(time.Duration(seconds*float64(time.Second)), (deadline-time.Since(began))/3)
+	}
 	if response.Close {
 		c.close()
 	}
--- a/review/third/platform/trial/poison.go
+++ b/review/third/platform/trial/poison.go
@@ -61,6 +61,7 @@
 					mu.Lock()
 					answers[kind.path+" "+a.kind()]++
 					mu.Unlock()
+					time.Sleep(a.wait)
 				}
 			})
 		}
@@ -75,7 +76,8 @@
 			for j := 0; leave() > 0; j++ {
 				id := fmt.Sprintf("g%d-%d", i, j)
 				c.leaveAfter = leave()
-				c.send("GET", "/look/"+id, id, nil, 1200*time.Millisecond)
+				a := c.send("GET", "/look/"+id, id, nil, 1200*time.Millisecond)
+				time.Sleep(a.wait)
 			}
 		})
 	}
@@ -86,8 +88,7 @@
 		leaving.Go(func() {
 			c := newClient(h)
 			c.leaveAfter = leave()
-			a := c.send("GET", "/look/crash", id, nil, 1200*time.Millisecond)
-			t.record("request %s at %s: %s", id, h.name, a)
+			c.send("GET", "/look/crash", id, nil, 1200*time.Millisecond)
 		})
 		late = append(late, func() bool {
 			third, ok := t.thirdCrash()
