--- a/review/third/platform/trial/poison.go
+++ b/review/third/platform/trial/poison.go
@@ -8,16 +8,34 @@
 	"time"
 )
 
-func init() { cases["poison"] = poison }
+func init() {
+	cases["poison"] = func(t *trial) (bool, error) { return poison(t, play{leaveEarly: t.trouble}) }
+	cases["twin"] = func(t *trial) (bool, error) { return poison(t, play{caller: "expedicao", twins: t.trouble}) }
+}
+
+// play is a play of a request that crashes servers.
+type play struct {
+	// leaveEarly is set if its clients, and some others, leave before their deadline.
+	leaveEarly bool
+	// caller is the service at whose hosts it is sent, and whose requests crash servers;
+	// empty means any. With twins, a request of another service has the same path.
+	caller string
+	twins  bool
+}
 
 const (
-	poisonHosts  = 12
+	poisonHosts = 12
+	// callerHosts is the number of hosts of the service in play.caller.
+	callerHosts  = 4
 	stableWindow = 3 * time.Second
 	// poisonPause is the time between two requests that crash servers.
 	poisonPause = 250 * time.Millisecond
 	// leaveTime is how long clients leave before their deadline, after leaveAfter: half of
 	// the routes' latency objective.
 	leaveTime, leaveAfter = 5500 * time.Millisecond, 150 * time.Millisecond
+	// twinPause is the time between a request with the same path and the next one of its
+	// client.
+	twinPause = 300 * time.Millisecond
 	// poisonTime is how long the requests come that crash servers.
 	poisonTime = 10 * time.Second
 	// maxRetries is how many retries the rule allows.
@@ -25,12 +43,19 @@
 )
 
 // poison sends a request that crashes each server that begins to run it, again and again and
-// at any host. In the disruption its client leaves before its deadline, as does a quarter of
-// the others. The rule BUDGET holds if at most three retries reach servers that were sent
-// later than stableWindow after the third crash.
-func poison(t *trial) (bool, error) {
+// at any host, beside other requests. The rule BUDGET holds if at most three retries reach
+// servers that were sent later than stableWindow after the third crash.
+func poison(t *trial, p play) (bool, error) {
 	t.configure(7, route("look", "/look/", "idempotent", "1200ms", "estoque"), route("order", "/order/", "non_idempotent", "1500ms", "estoque"))
-	if err := t.addHosts(slices.Repeat([]string{"estoque"}, poisonHosts)...); err != nil {
+	services := slices.Repeat([]string{"estoque"}, poisonHosts)
+	senders := poisonHosts
+	if p.caller != "" {
+		senders = callerHosts
+		copy(services, slices.Repeat([]string{p.caller}, senders))
+	}
+	path := "/look" + crashPath
+	t.crashCaller = p.caller
+	if err := t.addHosts(services...); err != nil {
 		return false, err
 	}
 	if err := t.awaitReady(15 * time.Second); err != nil {
@@ -46,24 +71,31 @@
 	leave := func() time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
-		if t.trouble && time.Now().Before(end) {
+		if p.leaveEarly && time.Now().Before(end) {
 			return leaveAfter
 		}
 		return 0
 	}
+	// keepSending sends a kind of request from one client until ctx ends.
+	keepSending := func(h *host, kind, method, prefix string, path func(id string) string, pause time.Duration) {
+		others.Go(func() {
+			c := newClient(h)
+			for j := 0; ctx.Err() == nil; j++ {
+				id := fmt.Sprintf("%s-%d", prefix, j)
+				a := c.send(method, path(id), id, nil, 1200*time.Millisecond)
+				mu.Lock()
+				answers[kind+" "+a.kind()]++
+				mu.Unlock()
+				time.Sleep(a.wait + pause)
+			}
+		})
+	}
 	for i, h := range t.hosts {
 		for n, kind := range []struct{ method, path string }{{"POST", "/order/"}, {"POST", "/order/"}, {"GET", "/look/"}, {"GET", "/look/"}} {
-			others.Go(func() {
-				c := newClient(h)
-				for j := 0; ctx.Err() == nil; j++ {
-					id := fmt.Sprintf("c%d-%d-%d", i, n, j)
-					a := c.send(kind.method, kind.path+id, id, nil, 1200*time.Millisecond)
-					mu.Lock()
-					answers[kind.path+" "+a.kind()]++
-					mu.Unlock()
-					time.Sleep(a.wait)
-				}
-			})
+			keepSending(h, kind.path, kind.method, fmt.Sprintf("c%d-%d", i, n), func(id string) string { return kind.path + id }, 0)
+		}
+		if p.twins && h.service != p.caller {
+			keepSending(h, "same path", "GET", fmt.Sprintf("t%d", i), func(string) string { return path }, twinPause)
 		}
 	}
 	time.Sleep(stableWindow)
@@ -83,12 +115,12 @@
 	}
 	late := make([]func() bool, 0)
 	for n, began := 0, time.Now(); time.Since(began) < poisonTime; n++ {
-		h, id := t.hosts[n%len(t.hosts)], fmt.Sprintf("p%d", n)
+		h, id := t.hosts[n%senders], fmt.Sprintf("p%d", n)
 		sent := time.Now()
 		leaving.Go(func() {
 			c := newClient(h)
 			c.leaveAfter = leave()
-			c.send("GET", "/look/crash", id, nil, 1200*time.Millisecond)
+			c.send("GET", path, id, nil, 1200*time.Millisecond)
 		})
 		late = append(late, func() bool {
 			third, ok := t.thirdCrash()
--- a/review/third/platform/trial/server.go
+++ b/review/third/platform/trial/server.go
@@ -33,8 +33,8 @@
 	http      *http.Server
 }
 
-// crashPath is the end of the paths of requests that crash each server that runs them, and
-// crashDelay how long a server runs one before.
+// Requests of crashCaller whose paths end with crashPath crash each server that runs them,
+// after crashDelay.
 const (
 	crashPath  = "/crash"
 	crashDelay = 400 * time.Millisecond
@@ -136,9 +136,7 @@
 	s.runs[id]++
 	s.mu.Unlock()
 	s.record("server %s runs %s, body of %d bytes", s.id, id, n)
-	if strings.HasSuffix(r.URL.Path, crashPath) {
-		time.Sleep(crashDelay) // it has begun, and a client that leaves does not end it
-		s.crash(id)
+	if s.crashes(r, id) {
 		return
 	}
 	time.Sleep(s.duration(id))
@@ -150,3 +148,14 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(w, body)
 }
+
+// crashes crashes the server if the request does that to each server.
+func (s *server) crashes(r *http.Request, id string) bool {
+	harmless := s.crashCaller != "" && s.crashCaller != r.Header.Get("X-Caller-Service")
+	if harmless || !strings.HasSuffix(r.URL.Path, crashPath) {
+		return false
+	}
+	time.Sleep(crashDelay) // it has begun, and a client that leaves does not end it
+	s.crash(id)
+	return true
+}
--- a/review/third/platform/trial/trial.go
+++ b/review/third/platform/trial/trial.go
@@ -21,6 +21,8 @@
 	began   time.Time
 	store   standin.Store
 	hosts   []*host
+	// crashCaller is the service whose requests crash servers; empty means any.
+	crashCaller string
 
 	mu       sync.Mutex
 	out      *os.File
