review: case 13, an answer is broken off while its server is silent

Cause: the time limit for a part of an answer runs from the line end behind a chunk, if that is read on its own, so that a silence of more than 1.1 s before the next chunk ends the answer. Change: case 13 and its part of the stand-in.

--- a/review/third/platform/trial/client.go
+++ b/review/third/platform/trial/client.go
@@ -26,6 +26,8 @@
 type answer struct {
 	status int
 	body   string
+	// sealed is set if the answer is a server's.
+	sealed bool
 	// cut is set if the connection ended without a whole answer.
 	cut bool
 	// wait is when the client may come again; zero if the answer does not say.
@@ -91,7 +93,7 @@
 	}
 	text, err := io.ReadAll(response.Body)
 	a.status, a.body, a.err = response.StatusCode, string(text), err
-	a.cut = err != nil
+	a.cut, a.sealed = err != nil, err == nil && response.Header.Get("X-Response-Seal") != ""
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		// Clients honour it up to a third of the time that they have left.
 		a.wait = min(time.Duration(seconds*float64(time.Second)), (deadline-time.Since(began))/3)
--- a/review/third/platform/trial/server.go
+++ b/review/third/platform/trial/server.go
@@ -28,6 +28,8 @@
 	state   string
 	running int
 	runs    map[string]int
+	// began and ended are when the server began and ended its work on uploads.
+	began, ended map[string]time.Time
 	// crashedAt is when the server has crashed; zero if it has not.
 	crashedAt time.Time
 	http      *http.Server
@@ -54,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	s.runs = make(map[string]int)
+	s.runs, s.began, s.ended = make(map[string]int), make(map[string]time.Time), make(map[string]time.Time)
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
 	return nil
@@ -139,6 +141,10 @@
 	if s.crashes(r, id) {
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, uploadPath) {
+		s.upload(w, id)
+		return
+	}
 	time.Sleep(s.duration(id))
 	s.mu.Lock()
 	s.running--
@@ -159,3 +165,47 @@
 	s.crash(id)
 	return true
 }
+
+// Uploads take usualWork, and longWork for one of longEvery. In the disruption the first part of
+// the answer to a long one is sent at once, and the server is silent until the last part.
+const (
+	uploadPath          = "/slot/"
+	usualWork, longWork = 350 * time.Millisecond, 1500 * time.Millisecond
+	longEvery           = 5
+	firstPart, lastPart = 26_000, 4_000
+)
+
+// upload runs an upload. net/http sends an answer in parts as chunks.
+func (s *server) upload(w http.ResponseWriter, id string) {
+	sum := fnv.New32a()
+	_, _ = io.WriteString(sum, id) // a hash returns no error
+	work := usualWork
+	if sum.Sum32()%longEvery == 0 {
+		work = longWork
+	}
+	s.mu.Lock()
+	s.began[id] = time.Now()
+	s.mu.Unlock()
+	w.Header().Set("X-Response-Seal", "seal-"+id)
+	first := make([]byte, firstPart)
+	if work == longWork && s.trouble {
+		_, _ = w.Write(first)
+		_ = http.NewResponseController(w).Flush()
+		first = nil
+	}
+	time.Sleep(work)
+	_, err := w.Write(append(first, make([]byte, lastPart)...))
+	s.mu.Lock()
+	s.ended[id] = time.Now()
+	s.running--
+	s.mu.Unlock()
+	s.record("server %s has ended %s after %s, error %v", s.id, id, work, err)
+}
+
+// atWork reports whether the server was at work on an upload at a time.
+func (s *server) atWork(id string, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	began, ended := s.began[id], s.ended[id]
+	return !began.IsZero() && began.Before(at) && (ended.IsZero() || at.Before(ended))
+}
