--- a/review/third/platform/trial/poison.go
+++ b/review/third/platform/trial/poison.go
@@ -11,6 +11,7 @@
 func init() {
 	cases["poison"] = func(t *trial) (bool, error) { return poison(t, play{leaveEarly: t.trouble}) }
 	cases["twin"] = func(t *trial) (bool, error) { return poison(t, play{caller: "expedicao", twins: t.trouble}) }
+	cases["begun"] = func(t *trial) (bool, error) { return poison(t, play{begun: t.trouble}) }
 }
 
 // play is a play of a request that crashes servers.
@@ -21,6 +22,8 @@
 	// empty means any. With twins, a request of another service has the same path.
 	caller string
 	twins  bool
+	// begun is set if servers crash when they have sent a part of the answer to it.
+	begun bool
 }
 
 const (
@@ -54,6 +57,9 @@
 		copy(services, slices.Repeat([]string{p.caller}, senders))
 	}
 	path := "/look" + crashPath
+	if p.begun {
+		path = "/look" + crashLaterPath
+	}
 	t.crashCaller = p.caller
 	if err := t.addHosts(services...); err != nil {
 		return false, err
--- a/review/third/platform/trial/server.go
+++ b/review/third/platform/trial/server.go
@@ -35,11 +35,14 @@
 	http      *http.Server
 }
 
-// Requests of crashCaller whose paths end with crashPath crash each server that runs them,
-// after crashDelay.
+// Requests of crashCaller whose paths end with crashPath or crashLaterPath crash each server
+// that runs them, after crashDelay. With crashLaterPath it has sent half of an answer of
+// longAnswer bytes before.
 const (
-	crashPath  = "/crash"
-	crashDelay = 400 * time.Millisecond
+	crashPath      = "/crash"
+	crashLaterPath = "/crash-later"
+	crashDelay     = 400 * time.Millisecond
+	longAnswer     = 200_000
 )
 
 func (s *server) currentState() string {
@@ -138,7 +141,7 @@
 	s.runs[id]++
 	s.mu.Unlock()
 	s.record("server %s runs %s, body of %d bytes", s.id, id, n)
-	if s.crashes(r, id) {
+	if s.crashes(w, r, id) {
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, uploadPath) {
@@ -156,11 +159,19 @@
 }
 
 // crashes crashes the server if the request does that to each server.
-func (s *server) crashes(r *http.Request, id string) bool {
+func (s *server) crashes(w http.ResponseWriter, r *http.Request, id string) bool {
+	later := strings.HasSuffix(r.URL.Path, crashLaterPath)
 	harmless := s.crashCaller != "" && s.crashCaller != r.Header.Get("X-Caller-Service")
-	if harmless || !strings.HasSuffix(r.URL.Path, crashPath) {
+	if harmless || !later && !strings.HasSuffix(r.URL.Path, crashPath) {
 		return false
 	}
+	if later {
+		w.Header().Set("X-Response-Seal", "seal-"+id)
+		w.Header().Set("Content-Length", strconv.Itoa(longAnswer))
+		_, _ = w.Write(make([]byte, longAnswer/2))
+		_ = http.NewResponseController(w).Flush()
+		s.record("server %s has sent %d of %d bytes of the answer to %s", s.id, longAnswer/2, longAnswer, id)
+	}
 	time.Sleep(crashDelay) // it has begun, and a client that leaves does not end it
 	s.crash(id)
 	return true
