review: case 15, calls with IDs of their own count as clients' requests

Other calls count as requests of clients, and the allowance of retries at the called service grows. Change: case 15 and its part of the stand-in.

--- a/review/third/platform/trial/host.go
+++ b/review/third/platform/trial/host.go
@@ -198,7 +198,7 @@
 	defer h.mu.Unlock()
 	s := &server{
 		id: fmt.Sprintf("i-%s-%d-%d", h.name, os.Getpid(), len(h.servers)), service: h.service, slots: 12, born: time.Now().UnixMilli(),
-		work: 90 * time.Millisecond, trial: h.trial,
+		work: 90 * time.Millisecond, trial: h.trial, outbound: h.addr(portCallers),
 	}
 	s.crashed = func() {
 		time.AfterFunc(downTime, func() {
--- a/review/third/platform/trial/server.go
+++ b/review/third/platform/trial/server.go
@@ -21,6 +21,9 @@
 	// work is the shortest duration of a request.
 	work time.Duration
 
+	// outbound is the address of the node for the calls of the server.
+	outbound string
+
 	// crashed is called when a request has crashed the server; it may be nil.
 	crashed func()
 
@@ -140,6 +143,13 @@
 	s.running++
 	s.runs[id]++
 	s.mu.Unlock()
+	if s.tally != nil {
+		s.serveCalls(w, r, id)
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+		return
+	}
 	s.record("server %s runs %s, body of %d bytes", s.id, id, n)
 	if s.crashes(w, r, id) {
 		return
--- a/review/third/platform/trial/trial.go
+++ b/review/third/platform/trial/trial.go
@@ -23,6 +23,10 @@
 	hosts   []*host
 	// crashCaller is the service whose requests crash servers; empty means any.
 	crashCaller string
+	// tally counts the arrivals of the case calls; nil in others. derived is set if calls
+	// have the ID of their request in theirs.
+	tally   *tally
+	derived bool
 
 	mu       sync.Mutex
 	out      *os.File
