--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,7 +21,10 @@
 	// brokenRuns is how often each request is repeated: the scheduler decides which call
 	// gets the error of a reset connection.
 	brokenRuns = 30
-	brokenHead = "HTTP/1.1 200 OK\r\n" + call.HeaderID + ": " + broken.ID + "\r\n"
+	// silentCalls is the number of concurrent requests at each node to a server that is
+	// silent for a moment.
+	silentCalls = 3
+	brokenHead  = "HTTP/1.1 200 OK\r\n" + call.HeaderID + ": " + broken.ID + "\r\n"
 )
 
 // startBrokenCluster starts two nodes with one server for both, which is the stand-in.
@@ -90,6 +94,29 @@
 	}
 }
 
+// Guards against answers that are broken off because their server is silent for a moment.
+func TestSilentServersAnswerCallers(t *testing.T) {
+	for name, c := range broken.Silent(brokenHead) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := startBrokenCluster(t, c.Server)
+			var calls sync.WaitGroup
+			for i := range 2 * silentCalls {
+				calls.Go(func() {
+					id := fmt.Sprintf("up-%d", i)
+					response, text, err := cluster.call(t.Context(), i%2, http.MethodPost, "/stock/order", http.Header{"Request-Id": {id}}, strings.NewReader("u"))
+					if !assert.Check(t, err) {
+						return
+					}
+					assert.Check(t, response.StatusCode == c.Status && strings.HasPrefix(text, broken.Body), "%s: %d %.200q", id, response.StatusCode, text)
+					assert.Check(t, c.Requests(id) == 1)
+				})
+			}
+			calls.Wait()
+		})
+	}
+}
+
 // Guards against requests that run twice because a connection to the server which was used
 // before ends without an answer. A rule says that the requests must not run again.
 func TestUnansweredRequestRunsOnce(t *testing.T) {
--- a/internal/standin/broken/answers.go
+++ b/internal/standin/broken/answers.go
@@ -1,6 +1,9 @@
 package broken
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // UploadSize is the size of a request that does not fit into the buffers of a connection to
 // a server, so that it is still being sent when an early answer arrives.
@@ -65,4 +68,38 @@
 	}
 }
 
+// silence is longer than a server needs to send a part of an answer.
+const silence = 1500 * time.Millisecond
+
+// Silent returns servers that are silent once in the middle of a valid answer.
+func Silent(head string) map[string]Case {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	rest := strings.Repeat("x", 200_000)
+	pause := func(before, after string) Case {
+		return Case{Server: &Server{Answer: before + after, Pause: silence, PauseAt: len(before)}, Status: 200}
+	}
+	closed := pause(head+"\r\nthe whole", " body")
+	closed.End = Close
+	return map[string]Case{
+		"status line":       pause(head[:len("HTTP/1.1 2")], head[len("HTTP/1.1 2"):]+"Content-Length: 14\r\n\r\n"+Body),
+		"header":            pause(head+"Content-", "Length: 14\r\n\r\n"+Body),
+		"end of the head":   pause(head+"Content-Length: 14\r\n\r", "\n"+Body),
+		"before the body":   pause(head+"Content-Length: 14\r\n\r\n", Body),
+		"body":              pause(head+"Content-Length: 14\r\n\r\nthe whole", " body"),
+		"body until close":  closed,
+		"before a size":     pause(head+chunked, "e\r\n"+Body+"\r\n0\r\n\r\n"),
+		"size":              pause(head+chunked+"0", "e\r\n"+Body+"\r\n0\r\n\r\n"),
+		"extension":         pause(head+chunked+"e;a=", "b\r\n"+Body+"\r\n0\r\n\r\n"),
+		"chunk":             pause(head+chunked+"e\r\nthe whole", " body\r\n0\r\n\r\n"),
+		"end of a chunk":    pause(head+chunked+"9\r\nthe whole\r", "\n5\r\n body\r\n0\r\n\r\n"),
+		"between chunks":    pause(head+chunked+"9\r\nthe whole\r\n", "5\r\n body\r\n0\r\n\r\n"),
+		"trailer":           pause(head+chunked+"e\r\n"+Body+"\r\n0\r\nX: ", "y\r\n\r\n"),
+		"end of the answer": pause(head+chunked+"e\r\n"+Body+"\r\n0\r\n", "\r\n"),
+		"interim answer":    pause("HTTP/1.1 103 Early", " Hints\r\n\r\n"+head+"Content-Length: 14\r\n\r\n"+Body),
+		"behind interim":    pause("HTTP/1.1 103 Early Hints\r\n\r\n", head+"Content-Length: 14\r\n\r\n"+Body),
+		"long chunk":        pause(head+chunked+"30d4e\r\n"+Body+rest, "\r\n0\r\n\r\n"),
+		"within long chunk": pause(head+chunked+"30d4e\r\n"+Body+rest[:100_000], rest[100_000:]+"\r\n0\r\n\r\n"),
+	}
+}
+
 func withStatus(head, status string) string { return strings.Replace(head, "200", status, 1) }
--- a/internal/standin/broken/server.go
+++ b/internal/standin/broken/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 )
 
 // End is what the server does with a connection after an answer.
@@ -46,6 +47,10 @@
 	Early bool
 	// End is what follows the answer.
 	End End
+	// Pause is how long the server is silent once in each answer, and PauseAt the number of
+	// bytes that it has sent before.
+	Pause   time.Duration
+	PauseAt int
 	// Limit is how many requests are answered on a connection before the next one closes
 	// it; zero means no limit.
 	Limit int
@@ -138,7 +143,7 @@
 	if !s.Early {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
-	_, _ = io.WriteString(c, strings.ReplaceAll(s.Answer, ID, id))
+	s.send(c, strings.ReplaceAll(s.Answer, ID, id))
 	switch s.End {
 	case Reset:
 		_ = c.SetLinger(0)
@@ -151,3 +156,14 @@
 	}
 	return false
 }
+
+// send sends an answer and pauses once within it.
+func (s *Server) send(w io.Writer, answer string) {
+	if s.Pause > 0 {
+		at := min(s.PauseAt, len(answer))
+		_, _ = io.WriteString(w, answer[:at])
+		time.Sleep(s.Pause)
+		answer = answer[at:]
+	}
+	_, _ = io.WriteString(w, answer)
+}
