http1: the idle time-out does not run while a request arrives

Callers' connections were closed without an answer in the middle of an upload if they had been idle for most of the time-out before it.

Cause: the idle time-out ran on until the request was complete. Change: a connection on which a part of a request has arrived is not idle; the time for a head and the rate of a body limit it.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -81,9 +81,10 @@
 func (c *conn) isIdle() bool { return c.pending.Load() == 0 && !c.lingering.Load() }
 
 // isExpired reports whether the connection has been idle for the time-out in force,
-// which callers rely on. Otherwise the timer runs on for the rest.
+// which callers rely on. Otherwise the timer runs on for the rest, unless a request is
+// arriving, which has limits of its own. The caller holds the lock of the framer.
 func (c *conn) isExpired() bool {
-	if !c.isIdle() {
+	if !c.isDrained() {
 		return false
 	}
 	c.mu.Lock()
