call: a request of another caller has another fingerprint

Cause: the fingerprint left out the caller, so an answer to the harmless request cleared the other one and kept it out of the incidents for a minute. Check, running and answered lists, incidents, rows and, in package daemon, hedges and releases use the same value. Change: origin and tenant are part of the fingerprint.

--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -134,11 +134,13 @@
 // the owner of its idempotency key.
 func (r Request) Keyed() bool { return r.Key != "" && !r.Idempotent }
 
-// Fingerprint returns a hash of the request's service, method, URI and body.
+// Fingerprint returns a hash of the request's service, method, URI, body and caller. A
+// request that comes again has the same ones, and one of another caller is another request:
+// it may be answered where this one crashes the server.
 func (r Request) Fingerprint() uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, s := range [...]string{r.Service, r.Method, r.URI} {
+	for _, s := range [...]string{r.Service, r.Method, r.URI, r.Origin, r.Tenant} {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
--- a/internal/daemon/crash_detector_test.go
+++ b/internal/daemon/crash_detector_test.go
@@ -6,10 +6,12 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/vanillasail/vanillasail/internal/call"
 	"github.com/vanillasail/vanillasail/pkg/fault"
@@ -45,6 +47,66 @@
 	}
 }
 
+// Guards against answers to harmless requests that hide which request crashes servers, and
+// against refusing these requests: they have the same path and body, and another tenant.
+func TestAnswersToAnotherTenantHideNoCrash(t *testing.T) {
+	const uri = "/stock/kill?crash=1&by=first"
+	c := startCluster(t, 6)
+	send := func(i int, tenant string) string {
+		response, text, err := c.call(context.Background(), i, http.MethodGet, uri, http.Header{"Tenant": {tenant}}, nil)
+		if err != nil {
+			t.Errorf("%s: %v", tenant, err)
+			return ""
+		}
+		if strings.Contains(text, string(fault.KindQuarantined)) {
+			return "quarantined"
+		}
+		return response.Header.Get("Outcome")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var sending sync.WaitGroup
+	var answered, refused atomic.Int32
+	for i := range c.nodes {
+		sending.Go(func() {
+			for ctx.Err() == nil {
+				switch send(i, "second") {
+				case "quarantined":
+					refused.Add(1)
+				case "ran":
+					answered.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	answeredMore := func(n int32) {
+		from := answered.Load()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if answered.Load() < from+n {
+				return poll.Continue("%d requests of the other tenant were answered", answered.Load())
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	}
+	answeredMore(100)
+	var outcomes []string
+	for i := range 12 {
+		outcomes = append(outcomes, send(i%len(c.nodes), "first"))
+		answeredMore(1)
+	}
+	answeredMore(50)
+	cancel()
+	sending.Wait()
+	crashed := 0
+	for _, s := range c.servers {
+		crashed += s.FaultCount("crash")
+	}
+	assert.Check(t, crashed >= 1 && crashed <= 3, "%d servers crashed; outcomes %v", crashed, outcomes)
+	assert.Check(t, slices.Contains(outcomes, "quarantined"), "outcomes %v", outcomes)
+	assert.Check(t, refused.Load() == 0, "%d harmless requests were refused", refused.Load())
+}
+
 // outcome sends a request and returns the outcome and, for a failure, its kind.
 func (c *cluster) outcome(t *testing.T, i int, method, uri string) string {
 	response, text, err := c.call(context.Background(), i, method, uri, nil, nil)
--- a/internal/standin/server/handle.go
+++ b/internal/standin/server/handle.go
@@ -15,7 +15,7 @@
 
 // handle runs one request. Query parameters: delay (milliseconds), size (bytes of
 // the answer), chunk (1: no Content-Length), cut (bytes after which the connection
-// is closed), status, crash (1), chain (remaining calls), last (delay of the last
+// is closed), status, crash (1), by (only requests of this tenant crash), chain (remaining calls), last (delay of the last
 // call of a chain), hold (1: a request whose call has failed is not answered until its
 // caller leaves).
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +40,7 @@
 	entry := s.Journal.begin(r, body)
 	defer s.Journal.end(entry)
 	query := r.URL.Query()
-	if query.Get("crash") == "1" {
+	if by := query.Get("by"); query.Get("crash") == "1" && (by == "" || by == r.Header.Get("Tenant")) {
 		s.crash(w)
 		return
 	}
--- a/pkg/quarantine/incident.go
+++ b/pkg/quarantine/incident.go
@@ -12,7 +12,8 @@
 	"github.com/vanillasail/vanillasail/pkg/wire"
 )
 
-// Fingerprint is a hash of a request's service, method, URI and body.
+// Fingerprint is a hash of what a request has in common with its next attempts: service,
+// method, URI, body and caller.
 type Fingerprint uint64
 
 // String returns the fingerprint in the form that logs use.
