chain: what may be a call earns no resends

Cause: clients and the server beside a node send to the same address, and a call was known only by an ID that begins with that of its request. Calls with IDs of their own counted as clients' requests: they earned resends, requests were resent because of their failure, and resends of the route were not charged for them. Change: a request may be a call if the server runs one with a deadline that is not earlier, unless the server's calls name their requests. Such a request earns no resends, is charged as a call, and its failure keeps requests that it may belong to from being resent. A metric counts these requests.

--- a/internal/mesh/dispatch.go
+++ b/internal/mesh/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/vanillasail/vanillasail/internal/call"
+	"github.com/vanillasail/vanillasail/pkg/chain"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
 	"github.com/vanillasail/vanillasail/pkg/retry"
@@ -18,9 +19,10 @@
 type dispatch struct {
 	*dispatcher
 	request call.Request
-	// isCall is set for a call of the local backend server, retried if the caller has
-	// been waiting since an earlier attempt.
-	isCall, retried bool
+	// source is a call for one of the local backend server.
+	source chain.Source
+	// retried is set if the caller has been waiting since an earlier attempt.
+	retried bool
 	// attempts is how many servers the request may reach.
 	attempts int
 
@@ -59,7 +61,7 @@
 // run returns the answer, or an error whose outcome holds for all sends.
 func (d *dispatch) run(ctx context.Context) (*call.Answer, error) {
 	d.start = time.Now()
-	if !d.isCall {
+	if d.source == chain.Client {
 		d.countRequest(d.request.Service, d.start)
 	}
 	defer d.end()
@@ -180,7 +182,7 @@
 		d.serverReached(true)
 		d.countCalls(result.calls.Calls)
 		// Another server would make the call again that has just failed.
-		if result.answer.Status < http.StatusInternalServerError || result.calls.Failed {
+		if result.answer.Status < http.StatusInternalServerError || result.calls.Failed || result.calls.MayHaveFailed {
 			return result.answer, true
 		}
 		if d.open.count == 0 {
@@ -287,7 +289,7 @@
 // shedShare returns the share of the limit on resends that the request may use after
 // its server has refused it.
 func (d *dispatch) shedShare() float64 {
-	if d.retried || d.isCall {
+	if d.retried || d.source == chain.Call {
 		return lastTryShare
 	}
 	return resendShare
--- a/internal/mesh/dispatcher.go
+++ b/internal/mesh/dispatcher.go
@@ -222,7 +222,7 @@
 		_ = answer.Body.Close()
 		return sendResult{err: fault.New(fault.KindCutShort, "reply of node %s: %v", to.Node, err), ran: true}
 	}
-	result := sendResult{ran: reply.Ran, err: reply.Fault, calls: chain.Summary{Calls: reply.Calls, Failed: reply.CallFailed}}
+	result := sendResult{ran: reply.Ran, err: reply.Fault, calls: chain.Summary{Calls: reply.Calls, Failed: reply.CallFailed, MayHaveFailed: reply.CallMayHaveFailed}}
 	// The load after a reservation counts the reserved slot, as does the send of the body.
 	if reply.Load != nil && reply.Ticket == 0 {
 		result.load = *reply.Load
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -84,6 +84,8 @@
 	Ran bool `msgpack:"r,omitempty"`
 	// CallFailed is set when a call failed that the server made for the request.
 	CallFailed bool `msgpack:"f,omitempty"`
+	// CallMayHaveFailed is set when a request failed that may be such a call.
+	CallMayHaveFailed bool `msgpack:"m,omitempty"`
 	// Calls is the number of calls by service that were made for the request.
 	Calls map[string]int `msgpack:"c,omitempty"`
 	// SlotSummary is set at intervals for a node whose server is of the same service.
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -14,6 +14,7 @@
 	"github.com/vanillasail/vanillasail/internal/caller"
 	"github.com/vanillasail/vanillasail/internal/http1"
 	"github.com/vanillasail/vanillasail/internal/peer"
+	"github.com/vanillasail/vanillasail/pkg/chain"
 	"github.com/vanillasail/vanillasail/pkg/fault"
 	"github.com/vanillasail/vanillasail/pkg/placement"
 	"github.com/vanillasail/vanillasail/pkg/retry"
@@ -53,6 +54,8 @@
 	inFlight atomic.Int64
 	// lateAcks counts the requests that other nodes acknowledged late.
 	lateAcks atomic.Int64
+	// unclear counts the requests that may be calls of the local backend server.
+	unclear atomic.Int64
 	// cuts counts the callers' connections that this node has closed in the middle of a
 	// request.
 	cuts atomic.Int64
@@ -185,15 +188,25 @@
 	var elapsed time.Duration
 	d.request, elapsed = n.dispatcher.prepare(r, rt, service)
 	d.retried = elapsed >= retry.MinWait
-	parent, isCall := n.serverProxy.runs.Parent(r.Parent)
-	if d.isCall = isCall; isCall {
+	var parent chain.Run
+	parent, d.source = n.serverProxy.runs.Source(r.Parent, r.Deadline, r.Arrived)
+	switch d.source {
+	case chain.Call:
 		d.request = d.request.AsCall(parent.CallPriority(rt.Priority))
+	case chain.Unclear:
+		n.unclear.Add(1)
+	case chain.Client:
 	}
 	ctx, cancel := context.WithDeadline(ctx, d.request.Deadline)
 	answer, err := d.run(ctx)
 	n.requestMetrics.observe(d.request, answer, err, time.Since(r.Arrived))
-	if isCall {
-		n.serverProxy.runs.Called(r.Parent, service, d.calls, err != nil || answer.Status >= http.StatusInternalServerError)
+	failed := err != nil || answer.Status >= http.StatusInternalServerError
+	switch d.source {
+	case chain.Call:
+		n.serverProxy.runs.Called(r.Parent, service, d.calls, failed)
+	case chain.Unclear:
+		n.serverProxy.runs.Unclear(r.Deadline, service, d.calls, failed)
+	case chain.Client:
 	}
 	if err != nil {
 		cancel()
@@ -351,8 +364,8 @@
 	n.assemble()
 	load := n.serverProxy.load()
 	return n.requestMetrics.text() + fmt.Sprintf(
-		"vanillasail_server_running %d\nvanillasail_server_waiting %d\nvanillasail_server_limit %d\nvanillasail_server_slots %d\nvanillasail_server_pace %.2f\nvanillasail_nodes %d\nvanillasail_links %d\nvanillasail_configuration_version %d\nvanillasail_configuration_newest %d\nvanillasail_configuration_behind_seconds %.3f\nvanillasail_configuration_failed_fetches_total %d\nvanillasail_late_acknowledgements_total %d\nvanillasail_cut_connections_total %d\n",
-		load.InFlight, load.Queued, load.Limit, load.Slots, load.Slowdown, n.directory.count(), n.peers.Links(), n.follower.version(), n.follower.lag.Newest(), n.follower.lag.Behind(time.Now()).Seconds(), n.follower.failedFetches.Load(), n.lateAcks.Load(), n.cuts.Load())
+		"vanillasail_server_running %d\nvanillasail_server_waiting %d\nvanillasail_server_limit %d\nvanillasail_server_slots %d\nvanillasail_server_pace %.2f\nvanillasail_nodes %d\nvanillasail_links %d\nvanillasail_configuration_version %d\nvanillasail_configuration_newest %d\nvanillasail_configuration_behind_seconds %.3f\nvanillasail_configuration_failed_fetches_total %d\nvanillasail_late_acknowledgements_total %d\nvanillasail_cut_connections_total %d\nvanillasail_unclear_requests_total %d\n",
+		load.InFlight, load.Queued, load.Limit, load.Slots, load.Slowdown, n.directory.count(), n.peers.Links(), n.follower.version(), n.follower.lag.Newest(), n.follower.lag.Behind(time.Now()).Seconds(), n.follower.failedFetches.Load(), n.lateAcks.Load(), n.cuts.Load(), n.unclear.Load())
 }
 
 // CallerAddr returns the address on which callers are served.
--- a/internal/mesh/peer_messages.go
+++ b/internal/mesh/peer_messages.go
@@ -54,7 +54,7 @@
 		r.Body = in.Body
 		result = n.serverProxy.serve(ctx, r, m.Ticket)
 	}
-	head := response{Fault: result.err, Ran: result.ran, CallFailed: result.calls.Failed, Calls: result.calls.Calls, Load: &result.load, Version: n.follower.version(), Ticket: result.ticket}
+	head := response{Fault: result.err, Ran: result.ran, CallFailed: result.calls.Failed, CallMayHaveFailed: result.calls.MayHaveFailed, Calls: result.calls.Calls, Load: &result.load, Version: n.follower.version(), Ticket: result.ticket}
 	if n.directory.summaryDue(string(in.From), time.Now()) {
 		head.SlotSummary = n.serverProxy.summary()
 	}
--- a/pkg/chain/runs.go
+++ b/pkg/chain/runs.go
@@ -17,8 +17,32 @@
 type Runs struct {
 	mu   sync.Mutex
 	runs map[string]*Run
+	// namedAt is when the newest call that names its request began.
+	namedAt time.Time
 }
 
+// Source is where a request that reaches the node beside a server comes from. Clients and
+// the server itself send their requests to the same address.
+type Source uint8
+
+const (
+	// Client means that no request that the server runs can have made it.
+	Client Source = iota
+	// Call means that it names the request that has made it.
+	Call
+	// Unclear means that it may be a call of a request that the server runs.
+	Unclear
+)
+
+const (
+	// deadlineSlack is how much later than that of its request the deadline of a call may
+	// seem to be: both are rounded, and the time on the connection adds to them.
+	deadlineSlack = 20 * time.Millisecond
+	// namedTTL is how long a call that names its request shows that the server's other
+	// calls do so too.
+	namedTTL = time.Minute
+)
+
 // Run is a request that the local backend server runs.
 type Run struct {
 	// Priority is that of the request; 0 is the most urgent.
@@ -27,8 +51,9 @@
 
 	// requests counts the running requests with the ID.
 	requests int
-	// failedCalls counts the calls that got no successful answer.
-	failedCalls int
+	// failedCalls counts the calls that got no successful answer, and unclearFailed those
+	// requests that may be calls of this one.
+	failedCalls, unclearFailed int
 	// calls counts the calls by service, with those that were made for them.
 	calls map[string]int
 }
@@ -36,10 +61,11 @@
 // Summary is what is known of the calls of a run when it ends.
 type Summary struct {
 	// Calls is the number of calls by service, with those that were made for them in
-	// turn; nil if there were none.
+	// turn; nil if there were none. It has the requests whose source is unclear.
 	Calls map[string]int
-	// Failed is set when a call got no successful answer.
-	Failed bool
+	// Failed is set when a call got no successful answer, MayHaveFailed when a request got
+	// none that may be a call.
+	Failed, MayHaveFailed bool
 }
 
 // Add adds a request that the server begins to run.
@@ -68,7 +94,7 @@
 	if run.requests--; run.requests == 0 {
 		delete(r.runs, id)
 	}
-	return Summary{Calls: maps.Clone(run.calls), Failed: run.failedCalls > 0}
+	return Summary{Calls: maps.Clone(run.calls), Failed: run.failedCalls > 0, MayHaveFailed: run.unclearFailed > 0}
 }
 
 // Parent returns the running request with the ID; false if there is none, so that a
@@ -83,6 +109,57 @@
 	return *run, true
 }
 
+// Source returns where a request comes from that may name another one as its parent, and
+// the parent of a call. A call ends at its parent's deadline, so one with a later deadline
+// than all running requests is none. One without a deadline may be a call of each.
+func (r *Runs) Source(parent string, deadline, now time.Time) (Run, Source) {
+	if run, ok := r.Parent(parent); ok {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.namedAt = now
+		return run, Call
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.namedAt.IsZero() && now.Sub(r.namedAt) < namedTTL {
+		return Run{}, Client
+	}
+	for _, run := range r.runs {
+		if run.mayCall(deadline) {
+			return Run{}, Unclear
+		}
+	}
+	return Run{}, Client
+}
+
+// Unclear records the end of a request whose source is unclear. It counts as a call of one
+// of the requests that may have made it, the one with the next deadline. failed is set when
+// it got no successful answer, so that a call of each of them may have failed.
+func (r *Runs) Unclear(deadline time.Time, service string, calls map[string]int, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var next *Run
+	for _, run := range r.runs {
+		if !run.mayCall(deadline) {
+			continue
+		}
+		if next == nil || run.Deadline.Before(next.Deadline) {
+			next = run
+		}
+		if failed {
+			run.unclearFailed++
+		}
+	}
+	if next != nil {
+		next.addCall(service, calls)
+	}
+}
+
+// mayCall reports whether a call of the request may have the deadline.
+func (r *Run) mayCall(deadline time.Time) bool {
+	return !deadline.After(r.Deadline.Add(deadlineSlack))
+}
+
 // Called records a call of the request, with the calls that were made for it in turn.
 // failed is set when it got no successful answer.
 func (r *Runs) Called(id, service string, calls map[string]int, failed bool) {
@@ -95,12 +172,17 @@
 	if failed {
 		run.failedCalls++
 	}
-	if run.calls == nil {
-		run.calls = make(map[string]int)
+	run.addCall(service, calls)
+}
+
+// addCall counts a call with those that were made for it in turn.
+func (r *Run) addCall(service string, calls map[string]int) {
+	if r.calls == nil {
+		r.calls = make(map[string]int)
 	}
-	run.calls[service]++
+	r.calls[service]++
 	for name, n := range calls {
-		run.calls[name] += n
+		r.calls[name] += n
 	}
 }
 
--- a/pkg/retry/windows.go
+++ b/pkg/retry/windows.go
@@ -9,7 +9,8 @@
 // what their own callers may resend, and at nodes that cannot refuse them. So a resend
 // is charged for the calls that it is expected to make, and is not sent if one of the
 // services called has no resends left. Only the requests of clients earn resends: a
-// call is the consequence of a request that has earned some already.
+// call is the consequence of a request that has earned some already. So what may be a
+// call earns none.
 //
 // The zero value allows nothing. Windows is not safe for concurrent use.
 type Windows struct {
