chain: name the end of an unclear request UnclearEnded

Cause: the method and the value Unclear of Source had the same name. Change: the method and its test are renamed, and a case of TestSource has a clearer name.

--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -205,7 +205,7 @@
 	case chain.Call:
 		n.serverProxy.runs.Called(r.Parent, service, d.calls, failed)
 	case chain.Unclear:
-		n.serverProxy.runs.Unclear(r.Deadline, service, d.calls, failed)
+		n.serverProxy.runs.UnclearEnded(r.Deadline, service, d.calls, failed)
 	case chain.Client:
 	}
 	if err != nil {
--- a/pkg/chain/runs.go
+++ b/pkg/chain/runs.go
@@ -132,10 +132,10 @@
 	return Run{}, Client
 }
 
-// Unclear records the end of a request whose source is unclear. It counts as a call of one
+// UnclearEnded records the end of a request whose source is unclear. It counts as a call of one
 // of the requests that may have made it, the one with the next deadline. failed is set when
 // it got no successful answer, so that a call of each of them may have failed.
-func (r *Runs) Unclear(deadline time.Time, service string, calls map[string]int, failed bool) {
+func (r *Runs) UnclearEnded(deadline time.Time, service string, calls map[string]int, failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var next *Run
--- a/pkg/chain/runs_test.go
+++ b/pkg/chain/runs_test.go
@@ -76,7 +76,7 @@
 		"no deadline":                 {map[string]time.Duration{"a": second}, 0, "", -1, Unclear},
 		"calls name their requests":   {map[string]time.Duration{"a": second}, second, "", second / 4, Client},
 		"calls named them before":     {map[string]time.Duration{"a": second}, namedTTL, "", second / 4, Unclear},
-		"the latest deadline may end": {map[string]time.Duration{"a": -second}, 0, "", second, Client},
+		"its run is over time":        {map[string]time.Duration{"a": -second}, 0, "", second, Client},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var r Runs
@@ -102,16 +102,16 @@
 
 // Guards against requests that may be calls and count for runs that cannot have made them,
 // or for none.
-func TestUnclear(t *testing.T) {
+func TestUnclearEnded(t *testing.T) {
 	var r Runs
 	now := time.Unix(1000, 0)
 	r.Add("late", 1, now.Add(2*time.Second))
 	r.Add("next", 1, now.Add(time.Second))
 	r.Add("early", 1, now.Add(time.Second/10))
-	r.Unclear(now.Add(time.Second/4), "t", map[string]int{"u": 2}, true)
-	r.Unclear(now.Add(time.Second/4), "t", nil, false)
-	r.Unclear(now.Add(time.Second+2*deadlineSlack), "t", nil, false)
-	r.Unclear(now.Add(time.Minute), "t", nil, true)
+	r.UnclearEnded(now.Add(time.Second/4), "t", map[string]int{"u": 2}, true)
+	r.UnclearEnded(now.Add(time.Second/4), "t", nil, false)
+	r.UnclearEnded(now.Add(time.Second+2*deadlineSlack), "t", nil, false)
+	r.UnclearEnded(now.Add(time.Minute), "t", nil, true)
 	assert.DeepEqual(t, r.Remove("next"), Summary{Calls: map[string]int{"t": 2, "u": 2}, MayHaveFailed: true})
 	assert.DeepEqual(t, r.Remove("late"), Summary{Calls: map[string]int{"t": 1}, MayHaveFailed: true})
 	assert.DeepEqual(t, r.Remove("early"), Summary{})
