--- a/pkg/chain/runs_test.go
+++ b/pkg/chain/runs_test.go
@@ -63,20 +63,20 @@
 		left   time.Duration
 		want   Source
 	}{
-		"nothing runs":                {nil, 0, "", second, Client},
-		"nothing runs, no deadline":   {nil, 0, "", -1, Client},
-		"names a running request":     {map[string]time.Duration{"a": second}, 0, "a", second, Call},
-		"names it, later deadline":    {map[string]time.Duration{"a": second}, 0, "a", 2 * second, Call},
-		"names another one":           {map[string]time.Duration{"a": second}, 0, "b", second, Unclear},
-		"at the deadline of a run":    {map[string]time.Duration{"a": second}, 0, "", second, Unclear},
-		"before that":                 {map[string]time.Duration{"a": second}, 0, "", second / 4, Unclear},
-		"a little later":              {map[string]time.Duration{"a": second}, 0, "", second + deadlineSlack, Unclear},
-		"later than every run":        {map[string]time.Duration{"a": second, "b": second / 2}, 0, "", second + 2*deadlineSlack, Client},
-		"later than one run":          {map[string]time.Duration{"a": second, "b": 2 * second}, 0, "", second + 2*deadlineSlack, Unclear},
-		"no deadline":                 {map[string]time.Duration{"a": second}, 0, "", -1, Unclear},
-		"calls name their requests":   {map[string]time.Duration{"a": second}, second, "", second / 4, Client},
-		"calls named them before":     {map[string]time.Duration{"a": second}, namedTTL, "", second / 4, Unclear},
-		"its run is over time":        {map[string]time.Duration{"a": -second}, 0, "", second, Client},
+		"nothing runs":              {nil, 0, "", second, Client},
+		"nothing runs, no deadline": {nil, 0, "", -1, Client},
+		"names a running request":   {map[string]time.Duration{"a": second}, 0, "a", second, Call},
+		"names it, later deadline":  {map[string]time.Duration{"a": second}, 0, "a", 2 * second, Call},
+		"names another one":         {map[string]time.Duration{"a": second}, 0, "b", second, Unclear},
+		"at the deadline of a run":  {map[string]time.Duration{"a": second}, 0, "", second, Unclear},
+		"before that":               {map[string]time.Duration{"a": second}, 0, "", second / 4, Unclear},
+		"a little later":            {map[string]time.Duration{"a": second}, 0, "", second + deadlineSlack, Unclear},
+		"later than every run":      {map[string]time.Duration{"a": second, "b": second / 2}, 0, "", second + 2*deadlineSlack, Client},
+		"later than one run":        {map[string]time.Duration{"a": second, "b": 2 * second}, 0, "", second + 2*deadlineSlack, Unclear},
+		"no deadline":               {map[string]time.Duration{"a": second}, 0, "", -1, Unclear},
+		"calls name their requests": {map[string]time.Duration{"a": second}, second, "", second / 4, Client},
+		"calls named them before":   {map[string]time.Duration{"a": second}, namedTTL, "", second / 4, Unclear},
+		"its run is over time":      {map[string]time.Duration{"a": -second}, 0, "", second, Client},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var r Runs
